--- /dev/null
+++ b/include/firspool/policy.h
@@ -0,0 +1,237 @@
+// The interface of firspool: settings, events in, actions out, and the class that decides.
+//
+// Contract of Policy::step: call it once for each batch of events, with a clock that never goes back. All
+// events of the batch are folded into the state first, then decisions are taken once. Actions are appended to
+// the vector, which belongs to the caller. Each message that arrived gets one final answer: an Outcome with
+// `final` set, a Refuse or a Fail. A Policy keeps no thread and no lock: use each object from one thread at a
+// time. Wrong use (time going back, a message id given twice, an unknown class) throws std::invalid_argument
+// and leaves the event unread.
+#pragma once
+
+#include <compare>
+#include <cstdint>
+#include <memory>
+#include <span>
+#include <string>
+#include <variant>
+#include <vector>
+
+namespace firspool {
+
+using Time = int64_t;  // microseconds; as a point in time its origin is arbitrary
+
+struct Endpoint {  // one address of a destination; returned as it was given
+  uint32_t address = 0;
+  uint16_t port = 0;
+  auto operator<=>(const Endpoint&) const = default;
+};
+
+// ---- Settings: told once, at the start ----
+
+enum class Effect { kSafe, kKeyed, kUnsafe };  // what a second run of a message would do
+enum class KeyScope { kAll, kZone, kCell };    // which endpoints of a destination drop repeats
+
+struct ClassSettings {
+  std::string name;
+  Effect effect = Effect::kUnsafe;
+  KeyScope key_scope = KeyScope::kAll;
+  Time key_window =
+      0;  // keyed: how long a destination remembers a key, from the first send that may have run
+  bool in_order = false;  // messages of one key go one at a time
+  Time target = 0;        // delivered within this time, a message earns its full worth
+  Time give_up = 0;       // how long it may be delivered, from when it was first handed in
+  double worth = 1;
+  double late_worth = 0;  // share of the worth that is left at the end
+};
+
+struct KindSettings {
+  std::string name;
+  bool apart = false;  // the endpoints of a destination are routes apart, each with its own limit and outages
+  int batch = 1;       // messages that may travel as one call
+};
+
+struct TenantSettings {
+  std::string name;
+  double quota_per_s = 0;  // rate of all relays together that earns its full worth; 0: no quota
+};
+
+enum class Weights {
+  kNone,
+  kNominal,
+  kRough
+};  // what an endpoint's weight holds: the destination's limit, or nothing
+
+struct Settings {
+  std::vector<ClassSettings> classes;
+  std::vector<KindSettings> kinds;
+  std::vector<TenantSettings> tenants;
+  int self = 0;
+  int relays = 1;
+  int zone = 0;
+  int slots = 1;     // calls out at once
+  int max_open = 1;  // messages held at once, sent or not
+  int max_attempts = 1;
+  int streams_per_conn = 1;
+  bool may_probe = false;
+  bool may_tell_peers = false;
+  bool may_cancel = false;
+  bool ask_for_list = false;       // the list comes only to those who watch
+  bool retry_after_heard = false;  // clients are told the wait of a Refuse
+  bool late_by_halves = false;     // worth falls by half with each further target; else evenly to the end
+  Weights weights = Weights::kNone;
+  int report_left = -1;   // index of the share of a limit that is left, in a report; -1: not reported
+  int report_limit = -1;  // index of the limit in calls a second; -1: not reported
+  double over_share_worth = 1;
+  Time tick = 0;
+  Time conn_idle = 0;
+  Time connect_timeout = 0;
+  Time max_retry_after = 0;
+  Time answer_slack = 0;
+  Time drain_grace = 0;
+  Time ask_every = 0;
+  Time order_pause = 0;
+  Time cold = 0;              // after an outage a destination is warm within this time
+  Time fall_window = 0;       // sent too much for this long while cold, it falls over
+  double fall_multiple = 1;   // too much: more than this many times its capacity at that moment
+  double start_capacity = 1;  // share of its capacity that it returns with
+  double price_cross_zone = 0;
+  double price_handshake = 0;
+  double price_waste = 0;
+  double price_late_fail = 0;
+  double price_probe = 0;
+  double price_refused = 0;
+  double price_peer = 0;
+  std::vector<double> zone_fee;  // for each zone: price of a message taken on by a route apart
+};
+
+// Reads settings from path=value lines. Unknown keys are skipped; a needed key that is missing or unreadable
+// throws std::invalid_argument naming it.
+Settings parse_settings(std::string_view facts);
+
+// ---- Events ----
+
+enum class Listing { kReady, kDraining, kGone };
+
+struct Member {
+  Endpoint endpoint;
+  Listing listing = Listing::kReady;
+  int zone = 0;
+  int kind = 0;
+  int destination = 0;
+  double weight = 1;
+};
+
+struct MembersChanged {
+  enum class Form { kDelta, kFull, kFailed };
+  Form form = Form::kFull;
+  std::shared_ptr<const std::vector<Member>> members;  // may be null when the form is kFailed
+};
+
+struct Arrival {
+  uint64_t id = 0;
+  int message_class = 0;
+  int tenant = 0;
+  uint64_t key = 0;  // for classes in order: what the message is about; 0: nothing
+  Time due = 0;
+  int destination = 0;
+};
+
+enum class Outcome { kOk, kError, kFull, kTimeout, kConnectFailed, kReset, kCancelled, kMoot };
+
+struct AttemptEnded {
+  uint64_t id = 0;
+  int attempt = 0;  // counted from 0 in the order of the message's Sends
+  Endpoint endpoint;
+  Outcome outcome = Outcome::kError;
+  bool final = false;  // the message is finished
+  Time took = 0;
+  Time wait = 0;  // with kFull: the wait that was told, 0 if none
+  std::vector<float> report;
+};
+
+struct ProbeEnded {
+  Endpoint endpoint;
+  bool ok = false;
+  Time took = 0;
+  std::vector<float> report;
+};
+
+struct Withdrawn {
+  uint64_t id = 0;
+};
+
+struct TimerFired {
+  uint64_t token = 0;
+};
+
+struct PeerNote {
+  int from = 0;
+  std::string bytes;
+};
+
+using Event =
+    std::variant<MembersChanged, Arrival, AttemptEnded, ProbeEnded, Withdrawn, TimerFired, PeerNote>;
+
+// ---- Actions ----
+
+struct Send {  // answered by one AttemptEnded, kTimeout at the latest after `timeout`
+  uint64_t id = 0;
+  Endpoint endpoint;
+  Time timeout = 0;
+};
+
+struct Refuse {  // ends the message; a retry by the client is harmless
+  uint64_t id = 0;
+  Time retry_after = 0;
+};
+
+struct Fail {  // ends the message; nothing is promised
+  uint64_t id = 0;
+};
+
+struct Cancel {
+  uint64_t id = 0;
+  int attempt = 0;
+};
+
+struct Probe {  // answered by one ProbeEnded
+  Endpoint endpoint;
+};
+
+struct CloseIdle {
+  Endpoint endpoint;
+};
+
+struct SetTimer {
+  uint64_t token = 0;
+  Time at = 0;
+};
+
+struct WatchList {};
+
+struct TellPeers {
+  std::string bytes;
+};
+
+struct Log {
+  std::string text;
+};
+
+using Action =
+    std::variant<Send, Refuse, Fail, Cancel, Probe, CloseIdle, SetTimer, WatchList, TellPeers, Log>;
+
+class Policy {
+ public:
+  Policy(Settings settings, uint64_t seed);
+  ~Policy();
+  Policy(Policy&&) noexcept;
+  Policy& operator=(Policy&&) noexcept;
+
+  void step(Time now, std::span<const Event> events, std::vector<Action>& actions);
+
+ private:
+  class Impl;
+  std::unique_ptr<Impl> impl_;
+};
+
+}  // namespace firspool
--- /dev/null
+++ b/sim/simhost.cpp
@@ -0,0 +1,103 @@
+// Hosts one Policy for each simulated relay and speaks the simulator's wire on standard input and output.
+#include <algorithm>
+#include <cstdio>
+#include <exception>
+#include <map>
+#include <string>
+#include <vector>
+
+#include "wire.h"
+
+namespace firspool::wire {
+namespace {
+
+constexpr size_t kChunk = 1 << 20;  // read in pieces, so that a false length allocates nothing by itself
+
+bool read_exactly(std::string& out, size_t count) {
+  out.clear();
+  while (out.size() < count) {
+    const size_t old = out.size();
+    const size_t want = std::min(kChunk, count - old);
+    out.resize(old + want);
+    const size_t got = std::fread(out.data() + old, 1, want, stdin);
+    if (got < want) {
+      out.resize(old + got);
+      return false;
+    }
+  }
+  return true;
+}
+
+class Host {
+ public:
+  std::string handle(Time now, std::vector<InstanceEvent> events) {
+    Encoder reply;
+    std::map<int, std::vector<Event>> pending;  // in the order of the instances' numbers
+    for (InstanceEvent& item : events) {
+      if (std::holds_alternative<Kill>(item.event)) {
+        policies_.erase(item.instance);
+        pending.erase(item.instance);
+      } else if (const auto* start = std::get_if<PowerOn>(&item.event)) {
+        pending.erase(item.instance);
+        guarded(item.instance, reply, [&] {
+          policies_.erase(item.instance);
+          policies_.emplace(item.instance, Policy(parse_settings(start->facts), start->seed));
+        });
+        pending[item.instance];
+      } else {
+        pending[item.instance].push_back(std::move(std::get<Event>(item.event)));
+      }
+    }
+    for (const auto& [instance, list] : pending) {
+      const auto policy = policies_.find(instance);
+      if (policy == policies_.end()) continue;
+      std::vector<Action> actions;
+      guarded(instance, reply, [&] { policy->second.step(now, list, actions); });
+      reply.actions(instance, actions);
+    }
+    return reply.frame();
+  }
+
+ private:
+  template <typename F>
+  static void guarded(int instance, Encoder& reply, F&& run) {
+    try {
+      run();
+    } catch (const std::exception& error) {
+      reply.panic(instance, error.what());
+    }
+  }
+
+  std::map<int, Policy> policies_;
+};
+
+int serve() {
+  Decoder decoder;
+  Host host;
+  std::string bytes;
+  while (true) {
+    if (!read_exactly(bytes, kHeaderBytes)) {
+      if (bytes.empty()) return 0;
+      throw WireError("frame header is cut short at byte " + std::to_string(bytes.size()));
+    }
+    const Header header = decode_header(bytes);
+    if (!read_exactly(bytes, header.length)) {
+      throw WireError("frame is cut short at byte " + std::to_string(kHeaderBytes + bytes.size()));
+    }
+    const std::string reply = host.handle(header.clock, decoder.decode(header, bytes));
+    if (std::fwrite(reply.data(), 1, reply.size(), stdout) != reply.size() || std::fflush(stdout) != 0)
+      return 1;
+  }
+}
+
+}  // namespace
+}  // namespace firspool::wire
+
+int main() {
+  try {
+    return firspool::wire::serve();
+  } catch (const std::exception& error) {
+    std::fprintf(stderr, "firspool_simhost: %s\n", error.what());
+    return 2;
+  }
+}
--- /dev/null
+++ b/sim/wire.h
@@ -0,0 +1,69 @@
+// The simulator's wire: frames to events, actions to frames. Nothing is decided here.
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <span>
+#include <stdexcept>
+#include <string>
+#include <string_view>
+#include <variant>
+#include <vector>
+
+#include "firspool/policy.h"
+
+namespace firspool::wire {
+
+// A frame that cannot be read; the text says what and at which byte.
+class WireError : public std::runtime_error {
+ public:
+  using std::runtime_error::runtime_error;
+};
+
+struct PowerOn {
+  uint64_t seed = 0;
+  std::string facts;
+};
+
+struct Kill {};
+
+struct InstanceEvent {
+  int instance = 0;
+  std::variant<Event, PowerOn, Kill> event;
+};
+
+struct Header {
+  uint32_t length = 0;
+  uint32_t records = 0;
+  Time clock = 0;
+};
+
+constexpr size_t kHeaderBytes = 16;
+
+Header decode_header(std::string_view bytes);
+
+// Decodes the records of batches, in order. Host lists outlive a batch, so one decoder serves one input.
+class Decoder {
+ public:
+  std::vector<InstanceEvent> decode(const Header& header, std::string_view body);
+
+ private:
+  std::map<uint32_t, std::shared_ptr<const std::vector<Member>>> lists_;
+};
+
+// Builds one reply.
+class Encoder {
+ public:
+  void actions(int instance, std::span<const Action> actions);
+  void panic(int instance, std::string_view text);
+  std::string frame() const;
+
+ private:
+  void speaking(int instance);
+
+  std::string body_;
+  uint32_t records_ = 0;
+};
+
+}  // namespace firspool::wire
--- /dev/null
+++ b/src/policy.cpp
@@ -0,0 +1,946 @@
+// Every decision of firspool. Types, events, actions and the contract: include/firspool/policy.h.
+#include "firspool/policy.h"
+
+#include <algorithm>
+#include <cmath>
+#include <limits>
+#include <map>
+#include <optional>
+#include <stdexcept>
+
+namespace firspool {
+namespace {
+
+// ---- Constants ----
+
+constexpr Time kMs = 1000;
+constexpr Time kSecond = 1000 * kMs;
+constexpr Time kNever = std::numeric_limits<Time>::max();
+
+// Retry bucket: a served call earns a tenth, so repeats stay under a tenth when failures are common.
+constexpr int kToken = 10;               // in parts; a served call earns one
+constexpr int kBucketCap = 10 * kToken;  // full at the start: short troubles are ridden out by N retries
+constexpr Time kPauseLeast = 20 * kMs;  // a repeat's random pause: long enough to leave the moment of failure
+constexpr Time kPauseMost = 250 * kMs;
+
+// Slot share: one destination's part of the slots while others wait, and how far long calls narrow it.
+constexpr double kSlotShare = 0.5;
+constexpr double kSlotShareLeast = 0.15;
+
+// Health.
+constexpr double kGain = 0.15;              // weight of a new latency or failure sample
+constexpr Time kKeepRegain = 30 * kSecond;  // the age at which an idle connection is trusted doubles so fast
+constexpr int kKeepCut = 3;                 // that age, in parts of the age at which a call on one was lost
+constexpr double kFullTable = 0.05;         // more calls without a connection: idle ones fill the tables
+constexpr double kStaleAbove = 0.2;  // calls on idle connections fail by so much more than on fresh ones
+constexpr Time kFirstLatency = 400 * kMs;  // assumed before anything was measured
+constexpr double kSlowDevs = 6;         // a call older than mean + this many deviations is suspiciously slow
+constexpr Time kSlowLeast = 700 * kMs;  // and at least this old
+constexpr double kTimeoutTimes = 2;  // time-out of a repeatable message, in multiples of the suspicious age
+constexpr double kUnsafeTimes = 2;   // and of an unsafe one, for which a time-out ends all hope, of that
+constexpr int kOverdue = 2;          // so many overdue calls, with nothing served since, make a hang
+constexpr double kHopeLeast = 0.35;  // a smaller share than this is not waited for when slots are short
+constexpr Time kRateMemory = 10 * kSecond;  // memory of the own served rate
+constexpr int kDeadStreak = 3;   // so many failures in a row, over at least kDeadSpan, prove an outage
+constexpr int kAgainStreak = 2;  // and so many, after a return, that it was none
+constexpr Time kDeadSpan = 800 * kMs;
+constexpr int kShutStreak = 3;
+constexpr Time kShutSpan = 2500 * kMs;  // refusals alone must last longer: spans of a limit are shorter
+constexpr Time kAvoidLeast = kSecond;   // a failing endpoint is passed over for so long, doubled up to
+constexpr Time kAvoidMost = 8 * kSecond;
+
+// Guards.
+constexpr double kColdMargin = 0.7;  // part of the fail-back budget that is used: counts and clocks differ
+constexpr double kScoutPart = 0.5;   // scouts of all relays together, in parts of the rate before the outage
+constexpr double kScoutLeast = 1.5;  // scouts a second of all relays together at least
+constexpr double kHolders = 5;  // seconds: holders of messages are counted as of an outage at least this old
+constexpr double kBaseLeast = 1.2;   // calls a second of all relays together, assumed where none was served
+constexpr double kFirstPace = 0.3;   // calls a second: least pace that the first refusal is held against
+constexpr double kLimitCut = 0.7;    // pace after the first refusal above a limit
+constexpr double kAgainCut = 0.5;    // and after each further one with nothing served between
+constexpr double kLimitGain = 0.03;  // regained, as a part of the pace, with each served call
+constexpr double kLimitBurst = 0.4;  // seconds of the pace that may go at once
+constexpr double kShedAbove = 0.9;   // part of max_open above which the least worth is given back
+
+// Ordering and choice of endpoint.
+constexpr double kSecondsPerPrice = 5;  // seconds of latency that a price of 1 a call is held against
+
+double seconds(Time t) { return static_cast<double>(t) / 1e6; }
+Time micros(double s) { return static_cast<Time>(std::ceil(std::min(s, 1e9) * 1e6)); }
+
+class Random {  // splitmix64: the same numbers everywhere
+ public:
+  explicit Random(uint64_t seed) : state_(seed) {}
+  Time between(Time low, Time high) {
+    uint64_t z = (state_ += 0x9e3779b97f4a7c15u);
+    z = (z ^ (z >> 30)) * 0xbf58476d1ce4e5b9u;
+    z = (z ^ (z >> 27)) * 0x94d049bb133111ebu;
+    return low + static_cast<Time>((z ^ (z >> 31)) % static_cast<uint64_t>(high - low + 1));
+  }
+
+ private:
+  uint64_t state_;
+};
+
+// Mean and mean deviation of the time that served calls take, in seconds.
+struct Latency {
+  double mean = seconds(kFirstLatency);
+  double dev = seconds(kFirstLatency) / 2;
+  int seen = 0;
+
+  void add(double took) {
+    const double gain = std::max(kGain, 1.0 / ++seen);
+    dev += gain * (std::abs(took - mean) - dev);
+    mean += gain * (took - mean);
+  }
+  Time suspicious() const { return std::max(kSlowLeast, micros(mean + kSlowDevs * dev)); }
+};
+
+// A rate that forgets: events a second over about the last kRateMemory.
+struct Rate {
+  double rate = 0;
+  Time at = 0;
+
+  double per_second(Time now) const { return rate * std::exp(-seconds(now - at) / seconds(kRateMemory)); }
+  void add(Time now) {
+    rate = per_second(now) + 1 / seconds(kRateMemory);
+    at = now;
+  }
+};
+
+// Tokens that refill with time; used to pace sends.
+struct Pacer {
+  double tokens = 0;
+  Time at = 0;
+
+  void refill(Time now, double rate, double burst) {
+    tokens = std::min(burst, tokens + rate * seconds(now - at));
+    at = now;
+  }
+  Time ready(Time now, double rate) const {
+    return tokens >= 1 ? now : now + std::max<Time>(1, micros((1 - tokens) / std::max(rate, 1e-6)));
+  }
+};
+
+struct Attempt {
+  Endpoint endpoint;
+  Time sent = 0;
+  uint64_t call = 0;
+  bool cancelled = false;
+  bool scout = false;  // sent to find an outage's end
+  Time idle = 0;       // how long its connection had been idle; 0: fresh or busy
+};
+
+struct Message {
+  Arrival in;
+  Time target = 0;  // until then it earns its full worth
+  double worth = 0;
+  int attempts = 0;
+  bool out = false;
+  bool repeat = false;  // the next send pays a token
+  bool withdrawn = false;
+  bool ran = false;   // an attempt may have run
+  Time ran_sent = 0;  // when the first such attempt was sent
+  int ran_zone = 0;
+  Time not_before = 0;
+};
+
+// What the rules tie to a destination: all its endpoints, or one where routes are apart.
+using LaneKey = std::pair<int, Endpoint>;  // a destination; and an endpoint where routes are apart
+
+struct Lane {
+  LaneKey key;
+  Time wait_until = 0;
+  double limit = 0;  // calls a second from all relays together; 0: unknown or none
+  double pace = 0;   // own sends a second at most; 0: never refused
+  double paced = 0;  // pace that a served call restores: one cut below that before the refusals in a row
+  Time cut_at = 0;   // when the pace was last cut; calls sent before tell nothing new
+  Pacer pacer;
+  double room = 1;         // mean share of the limit that is left, as reported or from refusals
+  bool bound = false;      // a message waited for the pace since the last served call
+  int streak = 0;          // calls in a row that were not served
+  int hard = 0;            // of these, failures rather than refusals
+  Time streak_since = 0;   // when the first of them was sent
+  Time out_since = 0;      // 0: no outage
+  bool suspected = false;  // the outage rests on overdue calls alone
+  Time back_since = 0;     // first served call after the outage; 0: still out
+  double base = 0;         // own served rate before it
+  Pacer cold;
+  int scouts = 0;                                            // out now
+  Time last_served_sent = std::numeric_limits<Time>::min();  // when the youngest served call was sent
+  bool probe_out = false;
+  bool probe_ok = false;
+  Rate served;
+};
+
+struct Host {
+  Member member;
+  Lane* lane = nullptr;
+  bool ready = false;
+  int calls = 0;
+  int conns = 0;
+  Time last_used = 0;
+  int fails = 0;
+  Time avoid_until = 0;
+  Latency latency;
+};
+
+// What is alike among destinations of a kind: the prior for one that this relay seldom calls.
+struct Kind {
+  Latency latency;
+  double unconnected = 0;  // share of calls that got no connection; falls slowly
+};
+
+struct Destination {
+  int kind = 0;
+  int tokens = kBucketCap;  // in parts
+  int calls = 0;
+  Latency usual;  // the pace without outliers, against which the slot share narrows
+  Latency latency;
+};
+
+}  // namespace
+
+class Policy::Impl {
+ public:
+  Impl(Settings settings, uint64_t seed) : set_(std::move(settings)), random_(seed) {
+    if (set_.classes.empty()) throw std::invalid_argument("settings hold no class");
+    for (const ClassSettings& c : set_.classes) longest_ = std::max(longest_, c.give_up);
+  }
+
+  void step(Time now, std::span<const Event> events, std::vector<Action>& actions) {
+    if (now < now_) throw std::invalid_argument("time goes back");
+    if (started_ == kNever) started_ = keep_at_ = now;
+    now_ = now;
+    out_ = &actions;
+    for (const Event& event : events) {
+      std::visit([this](const auto& e) { fold(e); }, event);
+    }
+    std::erase_if(key_rests_, [now](const auto& rest) { return rest.second.first <= now; });
+    wake_ = kNever;
+    keep_watching();
+    assess();
+    settle();
+    dispatch();
+    shed();
+    arm();
+  }
+
+ private:
+  // ---- Health ----
+
+  void fold(const MembersChanged& e) {
+    if (e.form == MembersChanged::Form::kFailed) {
+      watching_ = false;
+      watch_at_ = now_ + watch_pause_;
+      watch_pause_ = std::min(watch_pause_ * 2, std::max(kSecond, set_.ask_every / 2));
+      return;
+    }
+    if (watching_) watch_pause_ = kSecond / 4;
+    if (e.form == MembersChanged::Form::kFull) {
+      for (auto& [id, host] : hosts_) host.ready = false;
+    }
+    if (!e.members) return;
+    for (const Member& m : *e.members) {
+      Host& host = hosts_[m.endpoint];
+      host.member = m;
+      host.lane = &lane_of(m);
+      host.ready = m.listing == Listing::kReady;
+      by_destination_[m.destination][m.endpoint] = &host;
+      destinations_[m.destination].kind = m.kind;
+      if (set_.weights != Weights::kNone && m.weight > 0 && host.ready) host.lane->limit = m.weight;
+    }
+  }
+
+  void fold(const Arrival& e) {
+    if (e.message_class < 0 || e.message_class >= static_cast<int>(set_.classes.size())) {
+      throw std::invalid_argument("unknown class of message " + std::to_string(e.id));
+    }
+    if (messages_.contains(e.id))
+      throw std::invalid_argument("message " + std::to_string(e.id) + " came twice");
+    const ClassSettings& c = set_.classes[e.message_class];
+    Message& m = messages_[e.id];
+    m.in = e;
+    m.target = e.due - c.give_up + c.target;
+    m.worth = c.worth * tenant_share(e.tenant);
+    if (c.in_order && e.key != 0) turns_[e.key].push_back(e.id);
+  }
+
+  // What a tenant sends beyond its quota is worth little; this relay's part of it is taken as an even one.
+  double tenant_share(int tenant) {
+    if (tenant < 0 || tenant >= static_cast<int>(set_.tenants.size())) return 1;
+    const double quota = set_.tenants[tenant].quota_per_s / set_.relays;
+    if (quota <= 0) return 1;
+    auto [it, fresh] = tenant_pacers_.try_emplace(tenant);
+    Pacer& pacer = it->second;
+    if (fresh) pacer = {2 * quota, now_};
+    pacer.refill(now_, quota, std::max(1.0, 2 * quota));
+    if (pacer.tokens < 1) return set_.over_share_worth;
+    pacer.tokens -= 1;
+    return 1;
+  }
+
+  // Nothing is owed for it any more, but while its call is out it keeps its turn.
+  void fold(const Withdrawn& e) {
+    const auto it = messages_.find(e.id);
+    if (it == messages_.end()) return;
+    it->second.withdrawn = true;
+    if (!it->second.out) end(e.id);
+  }
+  void fold(const TimerFired& e) {
+    if (static_cast<Time>(e.token) == armed_) armed_ = kNever;
+  }
+  void fold(const PeerNote&) {}
+
+  void fold(const ProbeEnded& e) {
+    const auto it = hosts_.find(e.endpoint);
+    if (it == hosts_.end()) return;
+    Lane& l = *it->second.lane;
+    l.probe_out = false;
+    l.probe_ok = e.ok;
+  }
+
+  void fold(const AttemptEnded& e) {
+    const auto it = attempts_.find({e.id, e.attempt});
+    if (it == attempts_.end()) return;
+    const Attempt attempt = it->second;
+    attempts_.erase(it);
+    Host& host = hosts_[attempt.endpoint];
+    Lane& l = *host.lane;
+    Destination& d = destinations_[host.member.destination];
+    const auto call = calls_.find(attempt.call);
+    if (--call->second == 0) {
+      calls_.erase(call);
+      --host.calls;
+      --d.calls;
+    }
+    host.last_used = now_;
+    l.scouts -= attempt.scout;
+    learn(e, attempt, host, l, d);
+    if (host.calls == 0 && kinds_[d.kind].unconnected > kFullTable) close_idle(host);
+    const auto found = messages_.find(e.id);
+    if (found == messages_.end()) return;
+    Message& m = found->second;
+    m.out = false;
+    const bool hanging =
+        e.outcome == Outcome::kTimeout || e.outcome == Outcome::kReset || e.outcome == Outcome::kCancelled;
+    if (set_.classes[m.in.message_class].in_order && hanging) {
+      key_rests_[m.in.key] = {now_ + set_.order_pause, e.id};
+    }
+    if (e.final || m.withdrawn) return end(e.id);
+    if (e.outcome == Outcome::kMoot) return;
+    m.repeat = true;
+    m.not_before = now_ + random_.between(kPauseLeast, kPauseMost);
+    const bool unseen = e.outcome == Outcome::kFull || e.outcome == Outcome::kConnectFailed;
+    if (unseen || m.ran) return;
+    m.ran = true;
+    m.ran_sent = attempt.sent;
+    m.ran_zone = host.member.zone;
+  }
+
+  void learn(const AttemptEnded& e, const Attempt& attempt, Host& host, Lane& l, Destination& d) {
+    heed_report(e, l);
+    learn_idle(e.outcome, attempt, kinds_[d.kind], l);
+    // Slow or lost: whether calls past the suspicious age are served after all.
+    if (e.outcome == Outcome::kOk || e.outcome == Outcome::kTimeout) {
+      const bool overdue = e.took > latency_of(d).suspicious();
+      if (overdue) hope_ += 2 * kGain * ((e.outcome == Outcome::kOk ? 1 : 0) - hope_);
+    }
+    switch (e.outcome) {
+      case Outcome::kOk:
+        d.tokens = std::min(kBucketCap, d.tokens + 1);
+        host.latency.add(seconds(e.took));
+        kinds_[d.kind].latency.add(seconds(e.took));
+        learn_latency(d, e.took);
+        if (d.usual.seen == 0 || e.took < micros(4 * d.usual.mean)) d.usual.add(seconds(e.took));
+        host.fails = 0;
+        host.avoid_until = 0;
+        return served(attempt, l);
+      case Outcome::kFull:
+        // At the end of a wait all relays that were told come back: the random pause keeps them out of step.
+        if (e.wait > 0) {
+          l.wait_until = std::max(l.wait_until, now_ + e.wait + set_.tick + random_.between(0, kPauseMost));
+        }
+        if (e.wait == 0) narrow(attempt, l);
+        return unserved(attempt, l, false, e.wait > 0);
+      case Outcome::kError:
+      case Outcome::kReset:
+      case Outcome::kTimeout:
+      case Outcome::kConnectFailed:
+        // Lost answers are no sign of slowness: a time-out teaches only where overdue calls are served after
+        // all.
+        if (e.outcome == Outcome::kTimeout && hope_ > kHopeLeast && l.last_served_sent < attempt.sent) {
+          learn_latency(d, e.took);
+        }
+        if (e.outcome != Outcome::kError) avoid(host);
+        return unserved(attempt, l, true, false);
+      case Outcome::kCancelled:
+      case Outcome::kMoot:
+        return;
+    }
+  }
+
+  std::optional<double> reported(const std::vector<float>& report, int index) const {
+    if (index < 0 || static_cast<size_t>(index) >= report.size()) return {};
+    const float value = report[static_cast<size_t>(index)];
+    return std::isfinite(value) && value >= 0 ? std::optional<double>(value) : std::nullopt;
+  }
+
+  // A limit nearly used up makes its route dearer, so that routes with limits of their own are used evenly.
+  void heed_report(const AttemptEnded& e, Lane& l) {
+    const double limit = reported(e.report, set_.report_limit).value_or(0);
+    if (limit > 0) l.limit = limit;
+    if (e.outcome != Outcome::kOk && e.outcome != Outcome::kFull) return;
+    const double served = limit > 0 ? std::min(1.0, reported(e.report, set_.report_left).value_or(1)) : 1;
+    l.room += 2 * kGain * ((e.outcome == Outcome::kOk ? served : 0) - l.room);
+  }
+
+  // ---- Priors and connections ----
+
+  void learn_latency(Destination& d, Time took) {
+    if (d.latency.seen == 0) {
+      d.latency = kinds_[d.kind].latency;
+      d.latency.seen = std::min(d.latency.seen, 1);
+    }
+    d.latency.add(seconds(took));
+  }
+  const Latency& latency_of(const Destination& d) {
+    return d.latency.seen > 0 ? d.latency : kinds_[d.kind].latency;
+  }
+
+  // The age up to which an idle connection is used.
+  Time keep() const {
+    const double grown = seconds(keep_) * std::exp2(seconds(now_ - keep_at_) / seconds(kKeepRegain));
+    return std::min(set_.conn_idle, micros(grown));
+  }
+
+  void close_idle(Host& host) {
+    out_->push_back(CloseIdle{host.member.endpoint});
+    host.conns = 0;
+  }
+
+  // Idle connections can be dropped unseen: the age at which they are still used shrinks when calls on them
+  // are lost more often than on fresh ones. Where it errs it costs handshakes.
+  void learn_idle(Outcome outcome, const Attempt& attempt, Kind& k, const Lane& l) {
+    if (outcome == Outcome::kConnectFailed && l.out_since == 0) k.unconnected += kGain * (1 - k.unconnected);
+    if (outcome == Outcome::kOk) k.unconnected *= 1 - kFullTable / 2;
+    if (outcome != Outcome::kOk && outcome != Outcome::kReset && outcome != Outcome::kTimeout) return;
+    const double failed = outcome == Outcome::kOk ? 0 : 1;
+    double& share = attempt.idle == 0 ? lost_ : stale_;
+    share += kGain * (failed - share);
+    if (failed == 0 || attempt.idle == 0 || stale_ < lost_ + kStaleAbove) return;
+    keep_ = std::min(keep(), std::max(attempt.idle / kKeepCut, set_.tick));
+    keep_at_ = now_;
+  }
+
+  void avoid(Host& host) {
+    host.avoid_until = now_ + std::min(kAvoidMost, kAvoidLeast << std::min(host.fails, 3));
+    ++host.fails;
+    host.conns = 0;
+  }
+
+  void served(const Attempt& attempt, Lane& l) {
+    l.served.add(now_);
+    l.last_served_sent = std::max(l.last_served_sent, attempt.sent);
+    l.streak = l.hard = 0;
+    l.probe_ok = false;
+    l.pace = std::max(l.pace, l.paced);
+    if (l.bound) l.pace += kLimitGain * l.pace;
+    if (l.limit > 0) l.pace = std::min(l.pace, l.limit);
+    l.bound = false;
+    if (l.out_since == 0) return;
+    if (l.suspected && attempt.sent <= l.out_since) {  // the overdue calls were only slow
+      log(l, "only slow");
+      l.out_since = 0;
+    } else if (l.back_since == 0 && attempt.sent > l.out_since) {
+      l.back_since = now_;
+      l.suspected = false;
+      log(l, "back, cold");
+    }
+  }
+
+  void unserved(const Attempt& attempt, Lane& l, bool hard, bool told) {
+    watch(l);
+    // A call sent later was served: this one was lost, or its endpoint is bad, but the destination is up.
+    if (attempt.sent < l.last_served_sent) return;
+    if (l.streak++ == 0) l.streak_since = attempt.sent;
+    if (hard) {
+      ++l.hard;
+      l.suspected = false;
+    }
+    // Failures after the return start the ramp again; answers to calls from before it tell nothing new.
+    if (l.back_since != 0 && hard && l.streak >= kAgainStreak && attempt.sent > l.back_since) {
+      l.back_since = 0;
+      log(l, "fails again");
+    }
+    // A wait longer than a limit's span tells when a shut destination opens: its return begins there.
+    if (told && l.out_since == 0 && l.wait_until - l.streak_since > kShutSpan) {
+      go_out(l, "told to wait long", false);
+      l.back_since = l.cold.at = l.wait_until;
+    }
+  }
+
+  void log(const Lane& l, const std::string& what) {
+    out_->push_back(Log{"destination " + std::to_string(l.key.first) + ": " + what});
+  }
+
+  void go_out(Lane& l, const char* evidence, bool suspected) {
+    l.base = pooled_rate(l);
+    l.out_since = now_;
+    l.back_since = 0;
+    l.suspected = suspected;
+    l.cold = {seconds(random_.between(0, kSecond)), now_};
+    l.probe_ok = false;
+    log(l, std::string("outage, ") + evidence +
+               "; served before: " + std::to_string(std::lround(60 * l.base)) + " a minute");
+  }
+
+  // A hang gives no outcomes: calls past the suspicious age, with nothing served since, are evidence too.
+  void assess() {
+    std::map<Lane*, int> overdue;
+    for (const auto& [id, attempt] : attempts_) {
+      const Host& host = hosts_[attempt.endpoint];
+      const Time suspicious = latency_of(destinations_[host.member.destination]).suspicious();
+      Lane& l = *host.lane;
+      if (l.served.at > attempt.sent) continue;
+      if (now_ - attempt.sent >= suspicious) {
+        ++overdue[&l];
+        watch(l);
+      } else {
+        wake(attempt.sent + suspicious);
+      }
+    }
+    for (auto it = watched_.begin(); it != watched_.end();) {
+      Lane& l = *it->second;
+      if (l.out_since == 0 && l.streak == 0 && !overdue.contains(&l)) {
+        it = watched_.erase(it);
+        continue;
+      }
+      ++it;
+      if (l.out_since != 0) {
+        if (l.back_since != 0 && now_ - l.back_since >= set_.cold) {
+          log(l, "warm");
+          l.out_since = 0;
+        }
+        continue;
+      }
+      const Time span = now_ - l.streak_since;
+      const bool dead = l.streak >= kDeadStreak && l.hard >= 2 && span >= kDeadSpan;
+      const bool shut = l.streak >= kShutStreak && span >= kShutSpan;
+      if (dead || shut) {
+        go_out(l, dead ? "calls fail" : "all refused", false);
+      } else if (const auto late = overdue.find(&l); late != overdue.end() && late->second >= kOverdue) {
+        go_out(l, "calls overdue", true);
+      }
+    }
+  }
+
+  // ---- Guards ----
+
+  Lane& lane_of(const Member& m) {
+    const bool apart = m.kind < static_cast<int>(set_.kinds.size()) && set_.kinds[m.kind].apart;
+    const LaneKey key = {m.destination, apart ? m.endpoint : Endpoint{}};
+    Lane& l = lanes_[key];
+    l.key = key;
+    return l;
+  }
+
+  void watch(Lane& l) { watched_[l.key] = &l; }
+
+  // Own served rate; for a rare caller mostly the even part of the limit, which is worth one call as a prior.
+  double pooled_rate(const Lane& l) const {
+    const double even = std::max(l.limit, kBaseLeast) / set_.relays;
+    const double memory = seconds(kRateMemory);
+    const double seen = memory * (1 - std::exp(-std::max(1.0, seconds(now_ - started_)) / memory));
+    return std::max(even, (l.served.per_second(now_) * memory + 1) / (seen + 1 / even));
+  }
+
+  // Refused above a limit that all relays share: send slower, from the own demand seen, and slower again with
+  // each refusal in a row; at random, so that relays turned away together do not come back together.
+  void narrow(const Attempt& attempt, Lane& l) {
+    if (attempt.sent < l.cut_at) return;
+    const bool fresh = l.pace == 0 || l.streak == 0;
+    if (l.pace == 0) l.pace = std::max(1.5 * pooled_rate(l), kFirstPace);
+    l.pace = std::max((fresh ? kLimitCut : kAgainCut) * l.pace, 1 / seconds(longest_));
+    if (fresh) l.paced = l.pace;
+    l.cut_at = now_;
+    l.pacer = {0.5 - seconds(random_.between(0, kSecond)), now_};
+  }
+
+  // Share of the relays that were handed a message for the lane in the outage, and so know of it.
+  double knowing(const Lane& l) const {
+    const Time end = l.back_since == 0 ? now_ : l.back_since;
+    return std::max(1e-3, 1 - std::exp(-std::max(kHolders, seconds(end - l.out_since)) * l.base));
+  }
+
+  // Own part of what a cold destination takes, beside the first calls of the relays that know of no outage.
+  double cold_rate(const Lane& l) const {
+    const double warm = set_.cold <= 0 ? 0 : seconds(now_ - l.back_since) / seconds(set_.cold);
+    const double capacity = set_.start_capacity + (1 - set_.start_capacity) * std::clamp(warm, 0.0, 1.0);
+    const double know = knowing(l);
+    return l.base * std::max(0.0, kColdMargin * set_.fall_multiple * capacity - (1 - know)) / know;
+  }
+
+  // Own part of the fleet's scouts. The relays that hold messages for the lane share them.
+  double scout_rate(const Lane& l) const {
+    return std::max(kScoutPart * l.base, kScoutLeast / set_.relays) / knowing(l);
+  }
+
+  // When this lane may be sent to; kNever: only after some outcome.
+  Time admits(Lane& l) {
+    if (l.wait_until > now_) return l.wait_until;
+    if (l.out_since != 0) {
+      // Without an answer to the last scout another tells little, and would fill the slots.
+      if (l.back_since == 0 && l.scouts > 0) return kNever;
+      const double rate = l.back_since == 0 ? scout_rate(l) : cold_rate(l);
+      l.cold.refill(now_, rate, 1);
+      if (l.cold.tokens < 1) return std::min(l.cold.ready(now_, rate), now_ + kSecond);
+    }
+    if (l.pace > 0) {
+      l.pacer.refill(now_, l.pace, std::max(1.0, kLimitBurst * l.pace));
+      if (l.pacer.tokens < 1) {
+        l.bound = true;
+        return l.pacer.ready(now_, l.pace);
+      }
+    }
+    return now_;
+  }
+
+  void charge(Lane& l) {
+    if (l.out_since != 0) l.cold.tokens -= 1;
+    if (l.pace > 0) l.pacer.tokens -= 1;
+  }
+
+  // Where probes are allowed one goes ahead of each scout: it costs no token, and no message that a hang
+  // would end. Not trusted alone, as a probe may pass a hang by.
+  bool may_scout(Lane& l, const Host& host) {
+    if (l.out_since == 0 || l.back_since != 0 || !set_.may_probe) return true;
+    if (l.probe_ok) {
+      l.probe_ok = false;
+      return true;
+    }
+    if (!l.probe_out) {
+      out_->push_back(Probe{host.member.endpoint});
+      l.probe_out = true;
+      charge(l);
+    }
+    return false;
+  }
+
+  // ---- Answers that are due ----
+
+  void end(uint64_t id) {
+    const auto it = messages_.find(id);
+    if (it == messages_.end()) return;
+    const Arrival& in = it->second.in;
+    if (set_.classes[in.message_class].in_order && in.key != 0) {
+      std::erase(turns_[in.key], id);
+      if (turns_[in.key].empty()) turns_.erase(in.key);
+    }
+    messages_.erase(it);
+  }
+
+  bool refusable(const Message& m) const {
+    const ClassSettings& c = set_.classes[m.in.message_class];
+    if (c.effect == Effect::kSafe || !m.ran) return true;
+    return c.effect == Effect::kKeyed && c.key_scope == KeyScope::kAll;
+  }
+
+  // Whether another attempt may ever be made.
+  bool hopeless(const Message& m) const {
+    const ClassSettings& c = set_.classes[m.in.message_class];
+    if (m.attempts >= set_.max_attempts) return true;
+    if (!m.ran) return false;
+    return c.effect == Effect::kUnsafe || (c.effect == Effect::kKeyed && now_ >= window_end(m));
+  }
+
+  Time window_end(const Message& m) const {
+    return m.ran_sent + set_.classes[m.in.message_class].key_window - set_.tick;
+  }
+
+  Time last_moment(const Message& m) const { return m.in.due - 2 * set_.tick; }
+
+  void give_up(uint64_t id, const Message& m) {
+    out_->push_back(refusable(m) ? Action{Refuse{id, 0}} : Action{Fail{id}});
+  }
+
+  void settle() {
+    std::vector<uint64_t> over;
+    for (const auto& [id, m] : messages_) {
+      if (m.out) continue;
+      if (hopeless(m) || now_ >= last_moment(m)) {
+        over.push_back(id);
+      } else {
+        wake(last_moment(m));
+      }
+    }
+    for (const uint64_t id : over) {
+      give_up(id, messages_.at(id));
+      end(id);
+    }
+  }
+
+  // Gives the least worth back when there is hardly room for more.
+  void shed() {
+    const auto room = static_cast<size_t>(std::max(1.0, kShedAbove * set_.max_open));
+    if (messages_.size() <= room) return;
+    std::vector<std::pair<double, uint64_t>> least;
+    for (const auto& [id, m] : messages_) {
+      if (!m.out && refusable(m)) least.push_back({worth_at(m, now_), id});
+    }
+    std::sort(least.begin(), least.end());
+    for (const auto& [worth, id] : least) {
+      if (messages_.size() <= room) break;
+      out_->push_back(Refuse{id, 0});
+      end(id);
+    }
+  }
+
+  // ---- Ordering ----
+
+  double worth_at(const Message& m, Time at) const {
+    const ClassSettings& c = set_.classes[m.in.message_class];
+    if (at <= m.target) return m.worth;
+    if (at >= m.in.due) return 0;
+    const double late = seconds(at - m.target);
+    if (set_.late_by_halves) return m.worth * std::max(c.late_worth, std::exp2(-late / seconds(c.target)));
+    return m.worth * (1 - (1 - c.late_worth) * late / std::max(1e-6, seconds(m.in.due - m.target)));
+  }
+
+  bool has_turn(const Message& m) {
+    if (!set_.classes[m.in.message_class].in_order || m.in.key == 0) return true;
+    if (turns_[m.in.key].front() != m.in.id) return false;
+    const auto rest = key_rests_.find(m.in.key);
+    if (rest == key_rests_.end() || rest->second.second == m.in.id) return true;
+    wake(rest->second.first);
+    return false;
+  }
+
+  struct Candidate {
+    double loss;  // worth for each second of a slot, negated: the most comes first
+    Time target;
+    uint64_t id;
+    auto operator<=>(const Candidate&) const = default;
+  };
+
+  std::vector<Candidate> candidates() {
+    std::vector<Candidate> list;
+    for (auto& [id, m] : messages_) {
+      if (m.out) continue;
+      if (m.not_before > now_) {
+        wake(m.not_before);
+        continue;
+      }
+      if (!by_destination_.contains(m.in.destination) || !has_turn(m)) continue;
+      const double latency = latency_of(destinations_[m.in.destination]).mean;
+      list.push_back({-worth_at(m, now_ + micros(latency)) / std::max(0.01, latency), m.target, id});
+    }
+    std::sort(list.begin(), list.end());
+    return list;
+  }
+
+  // ---- Dispatch ----
+
+  // The design's slot share, narrowed while calls run longer than is usual at this destination.
+  int slot_share(const Destination& d) const {
+    const double usual = d.usual.seen == 0 ? 1 : std::min(1.0, d.usual.mean / std::max(1e-6, d.latency.mean));
+    const double share = std::max(kSlotShareLeast, kSlotShare * usual);
+    return std::max(1, static_cast<int>(std::ceil(set_.slots * share)));
+  }
+
+  void dispatch() {
+    std::vector<Candidate> waiting = candidates();
+    // First within each destination's share; slots that no other waits for then go to anyone.
+    for (const bool bound : {true, false}) {
+      std::vector<Candidate> left;
+      for (const Candidate& c : waiting) {
+        Message& m = messages_.at(c.id);
+        if (m.out) continue;  // went along in another message's call
+        Destination& d = destinations_[m.in.destination];
+        if (static_cast<int>(calls_.size()) >= set_.slots) return free_slots();
+        if (bound && d.calls >= slot_share(d)) {
+          left.push_back(c);
+        } else {
+          try_send(m, d, waiting);
+        }
+      }
+      waiting = std::move(left);
+    }
+  }
+
+  // Messages wait and no slot is free: stop waiting for overdue calls, once such calls proved lost, not slow.
+  // Guards against lost answers filling the slots; harms where a destination has only now become slow.
+  void free_slots() {
+    if (!set_.may_cancel || hope_ > kHopeLeast) return;
+    for (auto& [id, attempt] : attempts_) {
+      const auto message = messages_.find(id.first);
+      if (attempt.cancelled || message == messages_.end()) continue;
+      const Host& host = hosts_[attempt.endpoint];
+      const Time suspicious = latency_of(destinations_[host.member.destination]).suspicious();
+      if (seconds(now_ - attempt.sent) < patience(message->second) * seconds(suspicious)) continue;
+      attempt.cancelled = true;
+      out_->push_back(Cancel{id.first, id.second});
+    }
+  }
+
+  void try_send(Message& m, Destination& d, const std::vector<Candidate>& waiting) {
+    if (m.repeat && d.tokens < kToken) return;
+    Host* host = choose(m);
+    if (host == nullptr || !may_scout(*host->lane, *host)) return;
+    start_call(d, *host);
+    send(m, d, *host);
+    const Lane& l = *host->lane;
+    if (l.out_since != 0 && l.back_since == 0) return;  // one message is scout enough
+    // What goes to one endpoint in one round may share a call: one slot, one place under the limit, one fate.
+    int room = batch_of(host->member) - 1;
+    for (const Candidate& c : waiting) {
+      if (room <= 0) return;
+      Message& other = messages_.at(c.id);
+      if (other.out || other.in.destination != m.in.destination) continue;
+      if ((other.repeat && d.tokens < kToken) || !in_scope(other, *host)) continue;
+      send(other, d, *host);
+      --room;
+    }
+  }
+
+  int batch_of(const Member& m) const {
+    return m.kind < static_cast<int>(set_.kinds.size()) ? set_.kinds[m.kind].batch : 1;
+  }
+
+  // A keyed message that may have run stays with the endpoints that remember its key.
+  bool in_scope(const Message& m, const Host& host) const {
+    const ClassSettings& c = set_.classes[m.in.message_class];
+    if (!m.ran || c.effect != Effect::kKeyed) return true;
+    if (c.key_scope == KeyScope::kCell) return host.member.destination == m.in.destination;
+    return c.key_scope == KeyScope::kAll || host.member.zone == m.ran_zone;
+  }
+
+  Host* choose(const Message& m) {
+    Host* best = nullptr;
+    double best_cost = 0;
+    for (const auto& [endpoint, host] : by_destination_[m.in.destination]) {
+      if (!host->ready || !in_scope(m, *host)) continue;
+      const Time at = admits(*host->lane);
+      if (at > now_) {
+        wake(at);
+        continue;
+      }
+      const double cost = cost_of(*host);
+      if (best == nullptr || cost < best_cost) {
+        best = host;
+        best_cost = cost;
+      }
+    }
+    return best;
+  }
+
+  bool needs_conn(const Host& host) {
+    return host.calls >= host.conns * set_.streams_per_conn || now_ - host.last_used > keep();
+  }
+
+  double cost_of(const Host& host) {
+    const Latency& latency =
+        host.latency.seen > 0 ? host.latency : latency_of(destinations_[host.member.destination]);
+    double cost = latency.mean * (1 + 0.5 * host.calls) / std::max(0.1, host.lane->room);
+    if (host.member.zone != set_.zone) cost += kSecondsPerPrice * set_.price_cross_zone;
+    if (needs_conn(host)) cost += kSecondsPerPrice * set_.price_handshake;
+    if (host.avoid_until > now_) cost += seconds(kAvoidMost);
+    return cost;
+  }
+
+  double patience(const Message& m) const {
+    return set_.classes[m.in.message_class].effect == Effect::kUnsafe ? kUnsafeTimes : 1;
+  }
+
+  Time timeout_of(const Message& m, const Destination& d) {
+    // No call keeps its slot for the whole life of its message: lost answers would fill the slots one by one.
+    const double longest = std::max(1.0, kTimeoutTimes * seconds(latency_of(d).suspicious()));
+    return std::min(m.in.due - now_, micros(patience(m) * longest));
+  }
+
+  void start_call(Destination& d, Host& host) {
+    idle_ = host.calls == 0 && !needs_conn(host) ? now_ - host.last_used : 0;
+    if (needs_conn(host)) {
+      if (host.calls == 0 && host.conns > 0) close_idle(host);
+      host.conns = host.calls / std::max(1, set_.streams_per_conn) + 1;
+    }
+    host.last_used = now_;
+    calls_[++last_call_] = 0;
+    ++host.calls;
+    ++d.calls;
+    charge(*host.lane);
+  }
+
+  void send(Message& m, Destination& d, const Host& host) {
+    Lane& l = *host.lane;
+    const bool scout = l.out_since != 0 && l.back_since == 0;
+    l.scouts += scout;
+    if (m.repeat) d.tokens -= kToken;
+    m.repeat = false;
+    m.out = true;
+    ++calls_[last_call_];
+    attempts_[{m.in.id, m.attempts++}] = {host.member.endpoint, now_, last_call_, false, scout, idle_};
+    out_->push_back(Send{m.in.id, host.member.endpoint, timeout_of(m, d)});
+  }
+
+  // ---- The list and the timer ----
+
+  void keep_watching() {
+    if (!set_.ask_for_list || watching_) return;
+    if (now_ < watch_at_) return wake(watch_at_);
+    out_->push_back(WatchList{});
+    watching_ = true;
+  }
+
+  void wake(Time at) {
+    if (at > now_) wake_ = std::min(wake_, at);
+  }
+
+  void arm() {
+    if (wake_ == kNever || (armed_ > now_ && armed_ <= wake_)) return;
+    armed_ = wake_;
+    out_->push_back(SetTimer{static_cast<uint64_t>(wake_), wake_});
+  }
+
+  Settings set_;
+  Random random_;
+  Time now_ = std::numeric_limits<Time>::min();
+  Time started_ = kNever;  // when the first step was
+  std::vector<Action>* out_ = nullptr;
+  Time wake_ = kNever;
+  Time armed_ = kNever;
+  Time longest_ = kSecond;  // life of the longest-lived class
+  bool watching_ = false;
+  Time watch_at_ = std::numeric_limits<Time>::min();
+  Time watch_pause_ = kSecond / 4;
+  uint64_t last_call_ = 0;
+  double stale_ = 0;  // share of calls on idle connections that broke or got no answer
+  double lost_ = 0;   // and of calls on fresh ones
+  Time keep_ = kSecond * 3600;
+  Time keep_at_ = 0;
+  double hope_ = 2 * kHopeLeast;  // share of the calls past the suspicious age that are served after all
+  Time idle_ = 0;                 // how long the connection of the last call had been idle
+  std::map<int, Kind> kinds_;
+  std::map<uint64_t, Message> messages_;
+  std::map<std::pair<uint64_t, int>, Attempt> attempts_;
+  std::map<uint64_t, int> calls_;  // calls out, with their messages that have no outcome yet
+  std::map<Endpoint, Host> hosts_;
+  std::map<int, std::map<Endpoint, Host*>> by_destination_;
+  std::map<int, Destination> destinations_;
+  std::map<LaneKey, Lane> lanes_;
+  std::map<LaneKey, Lane*> watched_;  // in an outage, or with calls failed or overdue: judged in each step
+  std::map<int, Pacer> tenant_pacers_;
+  std::map<uint64_t, std::vector<uint64_t>> turns_;
+  std::map<uint64_t, std::pair<Time, uint64_t>> key_rests_;
+};
+
+Policy::Policy(Settings settings, uint64_t seed) : impl_(std::make_unique<Impl>(std::move(settings), seed)) {}
+Policy::~Policy() = default;
+Policy::Policy(Policy&&) noexcept = default;
+Policy& Policy::operator=(Policy&&) noexcept = default;
+
+void Policy::step(Time now, std::span<const Event> events, std::vector<Action>& actions) {
+  impl_->step(now, events, actions);
+}
+
+}  // namespace firspool
--- /dev/null
+++ b/src/settings.cpp
@@ -0,0 +1,221 @@
+// Settings from their text form. Nothing is decided here.
+#include <charconv>
+#include <cmath>
+#include <map>
+#include <optional>
+#include <stdexcept>
+#include <string>
+#include <string_view>
+
+#include "firspool/policy.h"
+
+namespace firspool {
+namespace {
+
+constexpr int kMostEntries = 100000;  // a list longer than this is a mistake in the text
+
+class Facts {
+ public:
+  explicit Facts(std::string_view text) {
+    while (!text.empty()) {
+      const size_t end = text.find('\n');
+      std::string_view line = text.substr(0, end);
+      text = end == std::string_view::npos ? std::string_view{} : text.substr(end + 1);
+      if (!line.empty() && line.back() == '\r') line.remove_suffix(1);
+      const size_t equals = line.find('=');
+      if (equals == std::string_view::npos) continue;
+      values_[std::string(line.substr(0, equals))] = std::string(line.substr(equals + 1));
+    }
+  }
+
+  bool has(const std::string& key) const { return values_.contains(key); }
+
+  std::string text(const std::string& key, std::optional<std::string> fallback = {}) const {
+    const auto it = values_.find(key);
+    if (it != values_.end()) return it->second;
+    if (!fallback) throw std::invalid_argument("setting " + key + " is missing");
+    return *fallback;
+  }
+
+  double number(const std::string& key, std::optional<double> fallback = {}) const {
+    if (fallback && !has(key)) return *fallback;
+    return parse(key, text(key));
+  }
+
+  int integer(const std::string& key, int least, std::optional<int> fallback = {}) const {
+    if (fallback && !has(key)) return *fallback;
+    const double value = number(key);
+    if (value != std::floor(value) || value < least || value > 1e9) unreadable(key);
+    return static_cast<int>(value);
+  }
+
+  double within(const std::string& key, double least, double most, double fallback) const {
+    const double value = number(key, fallback);
+    if (value < least || value > most) unreadable(key);
+    return value;
+  }
+
+  Time time(const std::string& key, std::optional<Time> fallback = {}) const {
+    if (fallback && !has(key)) return *fallback;
+    const double value = number(key);
+    if (value < 0 || value > 1e9) unreadable(key);
+    return std::llround(value * 1e6);
+  }
+
+  bool flag(const std::string& key, std::optional<bool> fallback = {}) const {
+    if (fallback && !has(key)) return *fallback;
+    return parse_flag(key, text(key));
+  }
+
+  std::vector<std::string> list(const std::string& key) const {
+    std::vector<std::string> parts;
+    std::string rest = text(key, "");
+    while (!rest.empty()) {
+      const size_t comma = rest.find(',');
+      parts.push_back(rest.substr(0, comma));
+      rest = comma == std::string::npos ? "" : rest.substr(comma + 1);
+    }
+    return parts;
+  }
+
+  std::vector<double> numbers(const std::string& key) const {
+    std::vector<double> out;
+    for (const std::string& part : list(key)) out.push_back(parse(key, part));
+    return out;
+  }
+
+  static bool parse_flag(const std::string& key, const std::string& value) {
+    if (value != "true" && value != "false") unreadable(key);
+    return value == "true";
+  }
+
+  [[noreturn]] static void unreadable(const std::string& key) {
+    throw std::invalid_argument("setting " + key + " is unreadable");
+  }
+
+ private:
+  static double parse(const std::string& key, const std::string& value) {
+    double out = 0;
+    const auto [end, error] = std::from_chars(value.data(), value.data() + value.size(), out);
+    if (error != std::errc() || end != value.data() + value.size() || !std::isfinite(out)) unreadable(key);
+    return out;
+  }
+
+  std::map<std::string, std::string> values_;
+};
+
+ClassSettings parse_class(const Facts& facts, const std::string& at) {
+  ClassSettings out;
+  out.name = facts.text(at + "name", "");
+  const std::string effect = facts.text(at + "semantics");
+  if (effect == "safe") {
+    out.effect = Effect::kSafe;
+  } else if (effect == "keyed") {
+    out.effect = Effect::kKeyed;
+    const std::string scope = facts.text(at + "key_scope");
+    if (scope != "all" && scope != "zone" && scope != "cell") Facts::unreadable(at + "key_scope");
+    out.key_scope = scope == "all" ? KeyScope::kAll : scope == "zone" ? KeyScope::kZone : KeyScope::kCell;
+    out.key_window = facts.time(at + "key_ttl_s");
+  } else if (effect != "unsafe") {
+    Facts::unreadable(at + "semantics");
+  }
+  out.in_order = facts.flag(at + "in_order", false);
+  out.target = facts.time(at + "target_s");
+  out.give_up = facts.time(at + "give_up_s");
+  out.worth = facts.number(at + "worth", 1.0);
+  out.late_worth = facts.number(at + "late_worth", 0.0);
+  return out;
+}
+
+void parse_kinds(const Facts& facts, Settings& out) {
+  const auto apart = facts.list("family_info.kind_apart");
+  const auto batch = facts.numbers("family_info.kind_batch");
+  for (const std::string& name : facts.list("kinds")) {
+    KindSettings kind;
+    kind.name = name;
+    const size_t index = out.kinds.size();
+    if (index < apart.size()) kind.apart = Facts::parse_flag("family_info.kind_apart", apart[index]);
+    if (index < batch.size()) {
+      if (batch[index] < 1 || batch[index] > kMostEntries) Facts::unreadable("family_info.kind_batch");
+      kind.batch = static_cast<int>(batch[index]);
+    }
+    out.kinds.push_back(kind);
+  }
+}
+
+void parse_tenants(const Facts& facts, Settings& out) {
+  const int count = facts.integer("realms.count", 0, 0);
+  if (count > kMostEntries) Facts::unreadable("realms.count");
+  for (int i = 0; i < count; ++i) {
+    const std::string at = "realms." + std::to_string(i) + ".";
+    out.tenants.push_back({facts.text(at + "name", ""), facts.number(at + "quota_per_s", 0.0)});
+  }
+}
+
+void parse_report(const Facts& facts, Settings& out) {
+  const auto fields = facts.list("telemetry.fields");
+  for (size_t i = 0; i < fields.size(); ++i) {
+    if (fields[i] == "x0") out.report_left = static_cast<int>(i);
+    if (fields[i] == "x1") out.report_limit = static_cast<int>(i);
+  }
+}
+
+void parse_prices(const Facts& facts, Settings& out) {
+  out.price_cross_zone = facts.number("prices.cross_zone", 0.0);
+  out.price_handshake = facts.number("prices.handshake", 0.0);
+  out.price_waste = facts.number("prices.waste", 0.0);
+  out.price_late_fail = facts.number("prices.late_fail", 0.0);
+  out.price_probe = facts.number("prices.probe", 0.0);
+  out.price_peer = facts.number("prices.peer", 0.0);
+  out.price_refused = facts.number("family_info.refused_price", 0.0);
+  out.zone_fee = facts.numbers("family_info.zone_fee");
+}
+
+}  // namespace
+
+Settings parse_settings(std::string_view text) {
+  const Facts facts(text);
+  Settings out;
+  const int classes = facts.integer("categories.count", 1);
+  if (classes > kMostEntries) Facts::unreadable("categories.count");
+  for (int i = 0; i < classes; ++i) {
+    out.classes.push_back(parse_class(facts, "categories." + std::to_string(i) + "."));
+  }
+  parse_kinds(facts, out);
+  parse_tenants(facts, out);
+  parse_report(facts, out);
+  parse_prices(facts, out);
+  out.self = facts.integer("me", 0, 0);
+  out.relays = facts.integer("siblings", 1, 1);
+  out.zone = facts.integer("zone", 0, 0);
+  out.slots = facts.integer("family_info.calls_out", 1);
+  out.max_open = facts.integer("bounds.open_cap", 1);
+  out.max_attempts = facts.integer("bounds.max_attempts", 1);
+  out.streams_per_conn = facts.integer("bounds.streams_per_conn", 1, 1);
+  out.may_probe = facts.flag("bounds.may_probe", false);
+  out.may_tell_peers = facts.flag("bounds.peers", false);
+  out.may_cancel = facts.flag("bounds.cancel", false);
+  out.ask_for_list = facts.text("discovery", "push") == "ask";
+  out.retry_after_heard = facts.flag("bounds.retry_after", false);
+  out.late_by_halves = facts.text("family_info.late", "line") == "halves";
+  const std::string weights = facts.text("weights", "silent");
+  out.weights = weights == "nominal" ? Weights::kNominal
+                : weights == "rough" ? Weights::kRough
+                                     : Weights::kNone;
+  out.over_share_worth = facts.within("over_share_worth", 0, 1, 1.0);
+  out.tick = facts.time("resolution_s", 0);
+  out.conn_idle = facts.time("bounds.conn_idle_s", 0);
+  out.connect_timeout = facts.time("bounds.connect_timeout_s", 0);
+  out.max_retry_after = facts.time("bounds.max_retry_after_s", 0);
+  out.answer_slack = facts.time("obligations.answer_slack_s", 0);
+  out.drain_grace = facts.time("obligations.stop_sending_within_s", 0);
+  out.ask_every = facts.time("obligations.ask_every_s", 0);
+  out.order_pause = facts.time("obligations.order_pause_s", 0);
+  out.cold = facts.time("obligations.cold_s", 0);
+  out.fall_window = facts.time("obligations.fall_s", 0);
+  out.fall_multiple = facts.within("obligations.fall_multiple", 0, 1e6, 1.0);
+  out.start_capacity = facts.within("obligations.start_capacity", 0, 1, 1.0);
+  return out;
+}
+
+}  // namespace firspool
--- /dev/null
+++ b/tests/host_input.cmake
@@ -0,0 +1,15 @@
+function(expect input code text)
+  file(WRITE ${WORK}/host_input.bin "${input}")
+  execute_process(COMMAND ${HOST} INPUT_FILE ${WORK}/host_input.bin
+    RESULT_VARIABLE result OUTPUT_VARIABLE out ERROR_VARIABLE error)
+  if(NOT result EQUAL ${code})
+    message(FATAL_ERROR "exit ${result}, not ${code}: ${error}")
+  endif()
+  if(NOT "${error}" MATCHES "${text}")
+    message(FATAL_ERROR "standard error was: ${error}")
+  endif()
+endfunction()
+
+expect("" 0 "^$")
+expect("abc" 2 "frame header is cut short at byte 3")
+expect("~~~~~~~~~~~~~~~~" 2 "out of range at byte 16")
--- /dev/null
+++ b/tests/policy_test.cpp
@@ -0,0 +1,595 @@
+#include <gtest/gtest.h>
+
+#include <stdexcept>
+
+#include "relay.h"
+
+namespace firspool::testing {
+namespace {
+
+// Sends one message that is served at once; returns the time after it.
+Time serve_one(Relay& relay, uint64_t id, Time now) {
+  const auto sends = all_of<Send>(relay.step(now, {relay.message(id, now)}));
+  EXPECT_EQ(sends.size(), 1u);
+  relay.step(now + 100'000, {ended(sends.at(0), 0, Outcome::kOk)});
+  return now + 200'000;
+}
+
+// A list whose destination takes so much that no guard is in the way of the bucket.
+MembersChanged unguarded(Settings& s) {
+  s.weights = Weights::kNominal;
+  Member m = member(1);
+  m.weight = 1e6;
+  return members({m});
+}
+
+// ---- Retry bucket ----
+
+TEST(RetryBucket, ARepeatWaitsARandomPause) {
+  Relay relay(plain_settings());
+  const auto first = all_of<Send>(relay.step(0, {members({member(1)}), relay.message(7, 0)}));
+  ASSERT_EQ(first.size(), 1u);
+  const auto at_once = relay.step(100'000, {ended(first[0], 0, Outcome::kError)});
+  EXPECT_TRUE(all_of<Send>(at_once).empty());
+  EXPECT_EQ(all_of<Send>(relay.idle(110'000, kSecond, 10'000)).size(), 1u);
+}
+
+// Calls that all fail: the bucket's first fill goes, then repeats stop while first attempts go on.
+TEST(RetryBucket, RepeatsStopWhenTheBucketIsEmpty) {
+  Settings s = plain_settings();
+  s.max_attempts = 2;
+  const MembersChanged list = unguarded(s);
+  Relay relay(s);
+  relay.step(0, {list});
+  int firsts = 0;
+  int repeats = 0;
+  Time now = 0;
+  std::map<uint64_t, int> attempts;
+  std::vector<Event> events;
+  for (uint64_t id = 1; id <= 60; ++id) {
+    events.push_back(relay.message(id, now));
+    for (int i = 0; i < 10; ++i) {
+      const auto sends = all_of<Send>(relay.step(now, events));
+      events.clear();
+      for (const Send& send : sends) {
+        ++(attempts[send.id] == 0 ? firsts : repeats);
+        events.push_back(ended(send, attempts[send.id]++, Outcome::kError));
+      }
+      now += 50'000;
+    }
+  }
+  EXPECT_EQ(firsts, 60);
+  EXPECT_EQ(repeats, 10);
+}
+
+TEST(RetryBucket, ServedCallsEarnATenthOfARepeat) {
+  Settings s = plain_settings();
+  s.classes[0].give_up = 2 * kSecond;
+  const MembersChanged list = unguarded(s);
+  Relay relay(s);
+  relay.step(0, {list});
+  Time now = 0;
+  uint64_t id = 0;
+  const auto repeats_of_one_failure = [&] {
+    const uint64_t mine = ++id;
+    auto sends = all_of<Send>(relay.step(now, {relay.message(mine, now)}));
+    int attempt = 0;
+    int repeats = 0;
+    while (!sends.empty()) {
+      std::vector<Event> events = {ended(sends[0], attempt++, Outcome::kError)};
+      sends = all_of<Send>(relay.step(now += 10'000, events));
+      for (int i = 0; i < 30 && sends.empty(); ++i) sends = all_of<Send>(relay.step(now += 10'000, {}));
+      repeats += static_cast<int>(sends.size());
+    }
+    relay.step(now += 3 * kSecond, {});  // the message is given up
+    return repeats;
+  };
+  int spent = 0;
+  for (int i = 0; i < 3; ++i) spent += repeats_of_one_failure();
+  EXPECT_EQ(spent, 10);  // the first fill
+  for (int i = 0; i < 10; ++i) now = serve_one(relay, ++id, now);
+  EXPECT_EQ(repeats_of_one_failure(), 1);
+}
+
+// ---- Promises of a class ----
+
+TEST(Promises, UnsafeIsRepeatedOnlyAfterProofThatItNeverRan) {
+  Relay relay(plain_settings());
+  const auto sends = all_of<Send>(relay.step(0, {members({member(1)}), relay.message(7, 0, 1)}));
+  ASSERT_EQ(sends.size(), 1u);
+  relay.step(100'000, {ended(sends[0], 0, Outcome::kConnectFailed)});
+  const auto again = all_of<Send>(relay.idle(110'000, kSecond));
+  ASSERT_EQ(again.size(), 1u);
+  const auto after = relay.step(kSecond + 100'000, {ended(again[0], 1, Outcome::kReset)});
+  EXPECT_EQ(all_of<Fail>(after).size(), 1u);
+  EXPECT_TRUE(all_of<Refuse>(after).empty());
+}
+
+TEST(Promises, KeyedStaysInItsGroupAndWindow) {
+  Settings s = plain_settings();
+  s.classes[0].effect = Effect::kKeyed;
+  s.classes[0].key_scope = KeyScope::kZone;
+  s.classes[0].key_window = 3 * kSecond;
+  Relay relay(s);
+  Member other = member(2);
+  other.zone = 1;
+  const auto first = all_of<Send>(relay.step(0, {members({member(1), other}), relay.message(7, 0)}));
+  ASSERT_EQ(first.size(), 1u);
+  relay.step(kSecond, {ended(first[0], 0, Outcome::kTimeout, kSecond)});
+  const auto second = all_of<Send>(relay.idle(kSecond, 2 * kSecond));
+  ASSERT_EQ(second.size(), 1u);
+  EXPECT_EQ(second[0].endpoint, first[0].endpoint);
+  const auto after = relay.step(3 * kSecond, {ended(second[0], 1, Outcome::kTimeout, kSecond)});
+  EXPECT_EQ(all_of<Fail>(after).size(), 1u);  // the window is over, and a refusal is not allowed
+}
+
+TEST(Promises, MessagesOfAKeyGoInTurn) {
+  Settings s = plain_settings();
+  s.classes[0].in_order = true;
+  s.order_pause = kSecond;
+  Relay relay(s);
+  Arrival a = relay.message(1, 0);
+  Arrival b = relay.message(2, 0);
+  a.key = b.key = 5;
+  const auto first = all_of<Send>(relay.step(0, {members({member(1)}), a, b}));
+  ASSERT_EQ(first.size(), 1u);
+  EXPECT_EQ(first[0].id, 1u);
+  const auto next = all_of<Send>(relay.step(100'000, {ended(first[0], 0, Outcome::kOk)}));
+  ASSERT_EQ(next.size(), 1u);
+  EXPECT_EQ(next[0].id, 2u);
+}
+
+TEST(Promises, AWithdrawnMessageKeepsItsTurnWhileItsCallIsOut) {
+  Settings s = plain_settings();
+  s.classes[0].in_order = true;
+  Relay relay(s);
+  Arrival a = relay.message(1, 0);
+  Arrival b = relay.message(2, 0);
+  a.key = b.key = 5;
+  const auto first = all_of<Send>(relay.step(0, {members({member(1)}), a, b}));
+  EXPECT_TRUE(all_of<Send>(relay.step(50'000, {Withdrawn{1}})).empty());
+  EXPECT_EQ(all_of<Send>(relay.step(100'000, {ended(first.at(0), 0, Outcome::kError)})).size(), 1u);
+}
+
+TEST(Promises, EveryMessageIsAnsweredInTime) {
+  Relay relay(plain_settings());
+  relay.step(0, {relay.message(1, 0), relay.message(2, 0, 1)});  // no endpoint is ever listed
+  relay.idle(0, 20 * kSecond);
+  EXPECT_EQ(relay.owed(), 0u);
+}
+
+// ---- Waits, drains, slots ----
+
+TEST(Waits, HoldTheWholeDestinationWhereTheLimitIsShared) {
+  Relay relay(plain_settings());
+  const auto first = all_of<Send>(relay.step(0, {members({member(1), member(2)}), relay.message(1, 0)}));
+  relay.step(100'000,
+             {ended(first.at(0), 0, Outcome::kFull, 100'000, 2 * kSecond), relay.message(2, 100'000)});
+  EXPECT_TRUE(all_of<Send>(relay.idle(110'000, 2'000'000)).empty());
+  EXPECT_FALSE(all_of<Send>(relay.idle(2'010'000, 4 * kSecond)).empty());
+}
+
+TEST(Waits, HoldOneRouteWhereRoutesAreApart) {
+  Relay relay(plain_settings());
+  const auto first =
+      all_of<Send>(relay.step(0, {members({member(1, 1, 1), member(2, 1, 1)}), relay.message(1, 0)}));
+  relay.step(100'000, {ended(first.at(0), 0, Outcome::kFull, 100'000, 5 * kSecond)});
+  const auto again = all_of<Send>(relay.idle(110'000, kSecond));
+  ASSERT_EQ(again.size(), 1u);
+  EXPECT_NE(again[0].endpoint, first[0].endpoint);
+}
+
+TEST(Drains, NothingNewGoesToADrainingEndpoint) {
+  Relay relay(plain_settings());
+  relay.step(0, {members({member(1), member(2)})});
+  relay.step(10'000, {members({member(1, 1, 0, Listing::kDraining)}, MembersChanged::Form::kDelta)});
+  for (uint64_t id = 1; id <= 5; ++id) {
+    const Time now = static_cast<Time>(id) * 50'000;
+    const auto sends = all_of<Send>(relay.step(now, {relay.message(id, now)}));
+    ASSERT_EQ(sends.size(), 1u);
+    EXPECT_EQ(sends[0].endpoint.address, 2u);
+  }
+}
+
+TEST(SlotShare, OneDestinationLeavesSlotsToOthersThatWait) {
+  Relay relay(plain_settings());
+  std::vector<Event> events = {members({member(1, 1), member(2, 2)})};
+  for (uint64_t id = 1; id <= 20; ++id) events.push_back(relay.message(id, 0, 0, 1));
+  for (uint64_t id = 21; id <= 24; ++id) events.push_back(relay.message(id, 0, 0, 2));
+  int to_second = 0;
+  for (const Send& send : all_of<Send>(relay.step(0, events))) to_second += send.endpoint.address == 2;
+  EXPECT_EQ(to_second, 4);
+}
+
+TEST(SlotShare, BindsOnlyWhileOthersWait) {
+  Relay relay(plain_settings());
+  std::vector<Event> events = {members({member(1, 1)})};
+  for (uint64_t id = 1; id <= 20; ++id) events.push_back(relay.message(id, 0));
+  EXPECT_EQ(all_of<Send>(relay.step(0, events)).size(), 8u);
+}
+
+TEST(Batches, MessagesToOneEndpointShareACall) {
+  Settings s = plain_settings();
+  s.kinds[0].batch = 5;
+  s.slots = 1;
+  Relay relay(s);
+  std::vector<Event> events = {members({member(1)})};
+  for (uint64_t id = 1; id <= 7; ++id) events.push_back(relay.message(id, 0));
+  const auto sends = all_of<Send>(relay.step(0, events));
+  ASSERT_EQ(sends.size(), 5u);
+  std::vector<Event> answers;
+  for (const Send& send : sends) answers.push_back(ended(send, 0, Outcome::kOk));
+  EXPECT_EQ(all_of<Send>(relay.step(100'000, answers)).size(), 2u);
+}
+
+TEST(Shedding, TheLeastWorthIsGivenBackWhenRoomRunsOut) {
+  Settings s = plain_settings();
+  s.max_open = 10;
+  s.classes[1].worth = 5;
+  Relay relay(s);
+  std::vector<Event> events;
+  for (uint64_t id = 1; id <= 10; ++id) events.push_back(relay.message(id, 0, id == 1 ? 1 : 0));
+  const auto refused = all_of<Refuse>(relay.step(0, events));
+  ASSERT_FALSE(refused.empty());
+  for (const Refuse& r : refused) EXPECT_NE(r.id, 1u);
+}
+
+// ---- Outages ----
+
+// Serves a message every 100 ms for some seconds, so that the relay knows the destination's pace.
+Time warm_up(Relay& relay, uint64_t& id) {
+  relay.step(0, {members({member(1)})});
+  Time now = 0;
+  while (now < 8 * kSecond) now = serve_one(relay, ++id, now);
+  return now;
+}
+
+// A hang: no outcome tells of it, calls only grow old. First attempts are held after a few.
+TEST(Outages, AHangIsSeenByOverdueCalls) {
+  Settings s = plain_settings();
+  s.slots = 100;
+  Relay relay(s);
+  uint64_t id = 0;
+  const Time start = warm_up(relay, id);
+  int sends = 0;
+  for (Time t = start; t < start + 2 * kSecond; t += 100'000) {
+    sends += static_cast<int>(all_of<Send>(relay.step(t, {relay.message(++id, t)})).size());
+  }
+  EXPECT_LE(sends, 12);
+}
+
+// After an outage the relay's own sends stay under its part of the fail-back budget, queue or not.
+TEST(Outages, AQueueIsNotLetGoAtOnceOnReturn) {
+  Settings s = plain_settings();
+  s.slots = 100;
+  Relay relay(s);
+  uint64_t id = 0;
+  const Time start = warm_up(relay, id);  // about five a second
+  std::map<uint64_t, int> attempts;
+  std::vector<Event> events;
+  std::vector<Time> sent_after_return;
+  const Time back = start + 8 * kSecond;
+  for (Time t = start; t < back + 8 * kSecond; t += 100'000) {
+    events.push_back(relay.message(++id, t));
+    const auto sends = all_of<Send>(relay.step(t, events));
+    events.clear();
+    for (const Send& send : sends) {
+      const bool up = t >= back;
+      if (up) sent_after_return.push_back(t);
+      events.push_back(ended(send, attempts[send.id]++, up ? Outcome::kOk : Outcome::kConnectFailed));
+    }
+  }
+  ASSERT_FALSE(sent_after_return.empty());
+  for (const Time from : sent_after_return) {
+    const double warm = static_cast<double>(from + 3 * kSecond - back) / static_cast<double>(s.cold);
+    const double budget =
+        2 * (0.25 + 0.75 * std::min(1.0, warm)) * 10 * 3;  // of its own part, ten a second at most
+    const auto in_window = std::count_if(sent_after_return.begin(), sent_after_return.end(),
+                                         [&](Time t) { return t >= from && t < from + 3 * kSecond; });
+    EXPECT_LE(static_cast<double>(in_window), budget);
+  }
+  EXPECT_LE(std::count_if(sent_after_return.begin(), sent_after_return.end(),
+                          [&](Time t) { return t < back + 3 * kSecond; }),
+            10);
+}
+
+// A few lost answers among served calls are not an outage: first attempts go on.
+TEST(Outages, LostAnswersAmongServedCallsHoldNothing) {
+  Settings s = plain_settings();
+  s.slots = 100;
+  Relay relay(s);
+  uint64_t id = 0;
+  Time now = warm_up(relay, id);
+  for (int i = 0; i < 60; ++i, now += 100'000) {
+    const auto sends = all_of<Send>(relay.step(now, {relay.message(++id, now, 1)}));
+    ASSERT_EQ(sends.size(), 1u) << i;
+    if (i % 5 != 0) relay.step(now + 50'000, {ended(sends[0], 0, Outcome::kOk, 50'000)});
+  }
+}
+
+// Messages wait, a call is overdue, and one sent later was served: its answer is lost, so its slot is freed.
+// Calls past the suspicious age end as they did before: served late, or timed out. Returns the last one's id.
+uint64_t overdue_calls(Relay& relay, uint64_t& id, Time& now, Outcome outcome) {
+  for (int i = 0; i < 3; ++i) {
+    const auto sends = all_of<Send>(relay.step(now, {relay.message(++id, now)}));
+    EXPECT_EQ(sends.size(), 1u);
+    for (int k = 0; k < 4; ++k) now = serve_one(relay, ++id, now + 300'000);
+    now += kSecond;
+    relay.step(now, {ended(sends.at(0), 0, outcome, 3 * kSecond)});
+    now += kSecond;
+    for (const Send& again : all_of<Send>(relay.step(now, {}))) {
+      relay.step(now + 100'000, {ended(again, 1, Outcome::kOk)});
+      now += 200'000;
+    }
+  }
+  EXPECT_EQ(all_of<Send>(relay.step(now, {relay.message(++id, now)})).size(), 1u);  // never answered
+  const uint64_t open = id;
+  for (int i = 0; i < 6; ++i) now = serve_one(relay, ++id, now + 300'000);
+  return open;
+}
+
+TEST(Outages, LostAnswersGiveTheirSlotsBackWhenOthersWait) {
+  Settings s = plain_settings();
+  s.slots = 2;
+  s.may_cancel = true;
+  Relay relay(s);
+  uint64_t id = 0;
+  Time now = warm_up(relay, id);
+  const uint64_t lost = overdue_calls(relay, id, now, Outcome::kTimeout);
+  EXPECT_TRUE(all_of<Cancel>(relay.step(now, {})).empty());  // no one waits
+  const auto freed = all_of<Cancel>(relay.step(now, {relay.message(++id, now), relay.message(++id, now)}));
+  ASSERT_EQ(freed.size(), 1u);
+  EXPECT_EQ(freed[0].id, lost);
+}
+
+TEST(Outages, SlowCallsKeepTheirSlots) {
+  Settings s = plain_settings();
+  s.slots = 2;
+  s.may_cancel = true;
+  Relay relay(s);
+  uint64_t id = 0;
+  Time now = warm_up(relay, id);
+  overdue_calls(relay, id, now, Outcome::kOk);
+  EXPECT_TRUE(all_of<Cancel>(relay.step(now, {relay.message(++id, now), relay.message(++id, now)})).empty());
+}
+
+// Scouts burn messages whose repeats find the bucket empty: where probes are allowed one goes ahead of each
+// scout.
+TEST(Outages, AProbeGoesAheadOfAScout) {
+  Settings s = plain_settings();
+  s.slots = 100;
+  s.may_probe = true;
+  Relay relay(s);
+  uint64_t id = 0;
+  Time now = warm_up(relay, id);
+  std::map<uint64_t, int> attempts;
+  std::vector<Event> events;
+  int late_sends = 0;
+  int probes = 0;
+  for (int i = 0; i < 70; ++i, now += 100'000) {  // down: the outage is proven within the first two seconds
+    events.push_back(relay.message(++id, now));
+    const auto actions = relay.step(now, events);
+    events.clear();
+    for (const Send& send : all_of<Send>(actions)) {
+      events.push_back(ended(send, attempts[send.id]++, Outcome::kConnectFailed));
+      late_sends += i >= 20;
+    }
+    for (const Probe& probe : all_of<Probe>(actions)) {
+      events.push_back(ProbeEnded{probe.endpoint, false, 50'000, {}});
+      ++probes;
+    }
+  }
+  relay.step(now, events);
+  EXPECT_EQ(late_sends, 0);
+  EXPECT_GE(probes, 4);
+  EXPECT_LE(probes, 20);
+}
+
+// A slow answer to a suspected call ends the suspicion, without a ramp.
+TEST(Outages, SlowCallsEndASuspicion) {
+  Settings s = plain_settings();
+  s.slots = 100;
+  Relay relay(s);
+  uint64_t id = 0;
+  Time now = warm_up(relay, id);
+  std::vector<Send> slow;
+  for (int i = 0; i < 3; ++i) slow.push_back(all_of<Send>(relay.step(now, {relay.message(++id, now)})).at(0));
+  const auto logs = all_of<Log>(relay.idle(now, now + kSecond));
+  ASSERT_FALSE(logs.empty());
+  EXPECT_NE(logs[0].text.find("calls overdue"), std::string::npos);
+  now += kSecond + 100'000;
+  relay.step(now, {ended(slow[0], 0, Outcome::kOk, kSecond)});
+  std::vector<Event> events;
+  for (int i = 0; i < 10; ++i) events.push_back(relay.message(++id, now));
+  EXPECT_EQ(all_of<Send>(relay.step(now, events)).size(), 10u);
+}
+
+// Refused by a limit shared with other relays: the own pace goes down, and it is not taken for an outage.
+TEST(Limits, RefusalsSlowTheOwnPace) {
+  Settings s = plain_settings();
+  s.weights = Weights::kNominal;
+  s.relays = 2;
+  Relay relay(s);
+  Member m = member(1);
+  m.weight = 10;
+  relay.step(0, {members({m})});
+  const auto count = [&](Time from, Outcome outcome) {
+    int sends = 0;
+    std::map<uint64_t, int> attempts;
+    static uint64_t id = 0;
+    std::vector<Event> events;
+    for (Time t = from; t < from + 30 * kSecond; t += 50'000) {
+      const bool busy = t < from + 4 * kSecond;
+      if (busy) events.push_back(relay.message(++id, t));
+      const auto out = all_of<Send>(relay.step(t, events));
+      events.clear();
+      for (const Send& send : out) events.push_back(ended(send, attempts[send.id]++, outcome, 20'000));
+      if (busy) sends += static_cast<int>(out.size());
+    }
+    return sends;
+  };
+  const int served = count(kSecond, Outcome::kOk);
+  EXPECT_EQ(served, 80);  // until a refusal nothing is held back
+  EXPECT_LT(count(40 * kSecond, Outcome::kFull), served / 2);
+}
+
+// Counts the attempts of a relay, fresh at the start, that calls a dead destination every so often for some
+// time.
+int attempts_on_a_dead_destination(Time every, Time until, int relays = 3) {
+  Settings s = plain_settings();
+  s.relays = relays;
+  s.weights = Weights::kNominal;
+  Relay relay(s);
+  Member m = member(1);
+  m.weight = 4;
+  relay.step(0, {members({m})});
+  std::map<uint64_t, int> attempts;
+  std::vector<Event> events;
+  uint64_t id = 0;
+  int count = 0;
+  for (Time t = 0; t < until; t += 50'000) {
+    if (t % every == 0) events.push_back(relay.message(++id, t));
+    const auto sends = all_of<Send>(relay.step(t, events));
+    events.clear();
+    for (const Send& send : sends)
+      events.push_back(ended(send, attempts[send.id]++, Outcome::kConnectFailed));
+    count += static_cast<int>(sends.size());
+  }
+  return count;
+}
+
+// A rare caller earns nothing from a dead destination: beyond the first fill there are no repeats.
+TEST(ExpectedTrouble, ARareCallerRepeatsNoMoreThanItsFirstFill) {
+  EXPECT_LE(attempts_on_a_dead_destination(2 * kSecond, 60 * kSecond), 30 + 10);
+}
+
+// A restarted relay has a full bucket, but sees the outage in three calls and then only scouts.
+TEST(ExpectedTrouble, ARestartedRelaySoonOnlyScouts) {
+  EXPECT_LE(attempts_on_a_dead_destination(100'000, 10 * kSecond), 10 + 10 + 10);  // of a hundred messages
+}
+
+// ---- Fleets of hundreds: a relay calls most destinations seldom ----
+
+// An even part of a limit is a call a minute at 300 relays: nothing is held back before a refusal.
+TEST(Fleet, ARareCallerIsServedAtOnce) {
+  Settings s = plain_settings();
+  s.relays = 300;
+  s.weights = Weights::kNominal;
+  Relay relay(s);
+  Member m = member(1);
+  m.weight = 4;
+  relay.step(0, {members({m})});
+  for (uint64_t id = 1; id <= 10; ++id) serve_one(relay, id, static_cast<Time>(id) * 5 * kSecond);
+}
+
+// Scouts are counted for the fleet: one relay of 300 sends far fewer than one of three.
+TEST(Fleet, ScoutsOfManyRelaysAddUpToFew) {
+  const int few = attempts_on_a_dead_destination(2 * kSecond, 60 * kSecond, 3);
+  const int many = attempts_on_a_dead_destination(2 * kSecond, 60 * kSecond, 300);
+  EXPECT_LT(many, few / 2);
+  EXPECT_GE(many, 3);
+}
+
+// All relays are told the same end of a wait: a return begins there, and what they hold does not go at once.
+TEST(Fleet, ALongToldWaitBeginsAReturn) {
+  Settings s = plain_settings();
+  s.relays = 300;
+  Relay relay(s);
+  const auto first = all_of<Send>(relay.step(0, {members({member(1)}), relay.message(1, 0)}));
+  ASSERT_EQ(first.size(), 1u);
+  relay.step(50'000, {ended(first[0], 0, Outcome::kFull, 50'000, 5000'000), relay.message(2, 50'000)});
+  EXPECT_TRUE(all_of<Send>(relay.idle(60'000, 6 * kSecond)).empty());
+  EXPECT_FALSE(all_of<Send>(relay.idle(6 * kSecond, 19 * kSecond)).empty());  // warm before the messages end
+}
+
+// ---- Connections ----
+
+// Calls on connections that idled long are lost, on fresh ones served: the next call opens a fresh one.
+TEST(Connections, IdleOnesThatWereDroppedUnseenAreNotUsedAgain) {
+  Relay relay(plain_settings());
+  relay.step(0, {members({member(1)})});
+  Time now = kSecond;
+  uint64_t id = 0;
+  bool closed = false;
+  for (int i = 0; i < 6 && !closed; ++i) {
+    now = serve_one(relay, ++id, now) + 4 * kSecond;
+    const auto actions = relay.step(now, {relay.message(++id, now)});
+    const auto sends = all_of<Send>(actions);
+    ASSERT_EQ(sends.size(), 1u);
+    closed = !all_of<CloseIdle>(actions).empty();
+    relay.step(now + 500'000, {ended(sends[0], 0, closed ? Outcome::kOk : Outcome::kReset, 500'000)});
+    now += 5 * kSecond;
+    for (const Send& again : all_of<Send>(relay.step(now, {}))) {
+      relay.step(now + 100'000, {ended(again, 1, Outcome::kOk)});
+    }
+    now += kSecond;
+  }
+  EXPECT_TRUE(closed);
+}
+
+// An endpoint takes few connections: where calls get none, idle ones are given back after each call.
+TEST(Connections, IdleOnesAreReleasedWhileTablesAreFull) {
+  Relay relay(plain_settings());
+  uint64_t id = 0;
+  const auto sends = all_of<Send>(relay.step(0, {members({member(1)}), relay.message(++id, 0)}));
+  ASSERT_EQ(sends.size(), 1u);
+  EXPECT_TRUE(all_of<CloseIdle>(relay.step(100'000, {ended(sends[0], 0, Outcome::kOk)})).empty());
+  const auto failing = all_of<Send>(relay.step(kSecond, {relay.message(++id, kSecond)}));
+  ASSERT_EQ(failing.size(), 1u);
+  relay.step(kSecond + 10'000, {ended(failing[0], 0, Outcome::kConnectFailed)});
+  const auto again = all_of<Send>(relay.step(3 * kSecond, {}));
+  ASSERT_EQ(again.size(), 1u);
+  EXPECT_EQ(all_of<CloseIdle>(relay.step(3 * kSecond + 100'000, {ended(again[0], 1, Outcome::kOk)})).size(),
+            1u);
+}
+
+// An unsafe call keeps no slot for its whole life: lost answers would fill the slots one by one.
+TEST(Outages, UnsafeCallsAreBoundedToo) {
+  Relay relay(plain_settings());
+  uint64_t id = 0;
+  const Time now = warm_up(relay, id);
+  const auto sends = all_of<Send>(relay.step(now, {relay.message(++id, now, 1)}));
+  ASSERT_EQ(sends.size(), 1u);
+  EXPECT_LT(sends[0].timeout, 10 * kSecond);
+}
+
+// ---- The list ----
+
+TEST(List, AskingIsRenewedAfterAFailure) {
+  Settings s = plain_settings();
+  s.ask_for_list = true;
+  s.ask_every = 10 * kSecond;
+  Relay relay(s);
+  EXPECT_EQ(all_of<WatchList>(relay.step(0, {members({member(1)})})).size(), 1u);
+  MembersChanged failed;
+  failed.form = MembersChanged::Form::kFailed;
+  EXPECT_TRUE(all_of<WatchList>(relay.step(100'000, {failed})).empty());
+  EXPECT_EQ(all_of<WatchList>(relay.idle(150'000, 6 * kSecond)).size(), 1u);
+}
+
+// ---- Wrong use ----
+
+TEST(WrongUse, IsTold) {
+  const Settings s = plain_settings();
+  Policy policy(s, 1);
+  std::vector<Action> actions;
+  Arrival arrival;
+  arrival.id = 3;
+  arrival.due = 20 * kSecond;
+  policy.step(kSecond, std::vector<Event>{arrival}, actions);
+  EXPECT_THROW(policy.step(0, {}, actions), std::invalid_argument);
+  EXPECT_THROW(policy.step(kSecond, std::vector<Event>{arrival}, actions), std::invalid_argument);
+  arrival.id = 4;
+  arrival.message_class = 9;
+  EXPECT_THROW(policy.step(kSecond, std::vector<Event>{arrival}, actions), std::invalid_argument);
+  EXPECT_THROW(Policy(Settings{}, 1), std::invalid_argument);
+}
+
+TEST(WrongUse, WhatIsNotHeldIsPassedOver) {
+  Relay relay(plain_settings());
+  relay.step(0, {members({member(1)}), Withdrawn{99}, TimerFired{5}, PeerNote{1, "x"},
+                 ended(Send{98, {1, 80}, 0}, 0, Outcome::kOk), ProbeEnded{{9, 9}, true, 0, {}}});
+}
+
+}  // namespace
+}  // namespace firspool::testing
