--- a/relay/directory.cpp
+++ b/relay/directory.cpp
@@ -20,8 +20,7 @@
   const auto address = boost::asio::ip::make_address(text.substr(0, colon), error);
   uint16_t port = 0;
   const char* end = text.data() + text.size();
-  if (colon == std::string::npos || error || std::from_chars(text.data() + colon + 1, end, port).ptr != end ||
-      port == 0) {
+  if (colon == std::string::npos || error || std::from_chars(text.data() + colon + 1, end, port).ptr != end) {
     throw std::invalid_argument("'" + text + "' is not an address with a port");
   }
   return {address, port};
--- a/relay/main.cpp
+++ b/relay/main.cpp
@@ -14,6 +14,8 @@
     boost::asio::io_context io(1);
     boost::asio::signal_set signals(io, SIGTERM, SIGINT);
     firspool::relay::Relay relay(io, firspool::relay::load_config());
+    const auto address = relay.address();
+    std::fprintf(stderr, "listening on %s:%u\n", address.address().to_string().c_str(), address.port());
     signals.async_wait([&relay](const boost::system::error_code& error, int) {
       if (!error) relay.stop();
     });
--- /dev/null
+++ b/tests/parts_test.cpp
@@ -0,0 +1,174 @@
+// The relay's parts that need no socket: configuration, requests, the list and the journal.
+#include <filesystem>
+#include <fstream>
+#include <nlohmann/json.hpp>
+
+#include "clients.h"
+#include "config.h"
+#include "journal.h"
+#include "peers.h"
+#include "resp.h"
+
+namespace firspool::relay {
+namespace {
+
+TEST(Config, FlattensToLinesOfTheModule) {
+  const auto json =
+      nlohmann::json::parse(R"({"a":{"b":[1,2],"c":true},"d":[{"e":"x"}],"f":[],"g":0.25,"h":"words, too"})");
+  EXPECT_EQ(flatten(json), "a.b=1,2\na.c=true\nd.count=1\nd.0.e=x\nf=\ng=0.25\nh=words, too\n");
+}
+
+TEST(Config, SaysWhatIsMissing) {
+  nlohmann::json config = testing::config_json("127.0.0.1:1", {});
+  EXPECT_EQ(parse_config(config.dump(), "/tmp").settings.max_open, 20);
+  config["settings"]["bounds"].erase("open_cap");
+  try {
+    parse_config(config.dump(), "/tmp");
+    FAIL();
+  } catch (const std::exception& error) {
+    EXPECT_NE(std::string(error.what()).find("bounds.open_cap"), std::string::npos);
+  }
+}
+
+TEST(Resp, RefusesWhatItWouldHaveToHoldWithoutBound) {
+  for (const std::string bytes :
+       {"*17\r\n", "*1\r\n$65537\r\n", "*1\r\n$1234567890123", "x", "*1\r\n*1\r\n"}) {
+    RespParser parser;
+    parser.feed(bytes);
+    EXPECT_THROW(parser.next(), RespError) << bytes;
+  }
+  RespParser parser;
+  parser.feed("*1\r\n$65536\r\n" + std::string(65536, 'x'));
+  EXPECT_FALSE(parser.next());
+  parser.feed("\r\n");
+  EXPECT_TRUE(parser.next());
+  EXPECT_TRUE(parser.empty());
+}
+
+TEST(Put, RefusesWhatWouldBreakAHeader) {
+  const auto parse = [](const std::string& id, const std::string& list) {
+    return parse_put({"MSG.PUT", "0", id, list, ""});
+  };
+  EXPECT_EQ(parse("a", "c=x,d=8000,dest=7,r=1,again=1").life, 8'000'000);
+  EXPECT_THROW(parse("a\r\nX: y", "c=x,d=8000,dest=7"), std::invalid_argument);
+  EXPECT_THROW(parse("a", "c=x,k=b\r\nc,d=8000,dest=7"), std::invalid_argument);
+  EXPECT_THROW(parse("a", "c=x,d=-1,dest=7"), std::invalid_argument);
+  EXPECT_THROW(parse("a", "c=x,d=8000"), std::invalid_argument);
+  EXPECT_THROW(parse("a", "c=x,d=99999999999999999999,dest=7"), std::invalid_argument);
+}
+
+TEST(Directory, HandlesStandForIdsAndOldNewsIsDropped) {
+  const ListNames names{{"a"}, {"std"}};
+  const auto list = [&](int revision, bool complete, std::vector<nlohmann::json> members) {
+    return parse_list(testing::list_json(revision, complete, std::move(members)), names);
+  };
+  Directory directory;
+  const auto first = directory.apply(list(5, true, {testing::member_json("s-1", "127.0.0.1:80", 7)}));
+  const auto next = directory.apply(list(6, false, {testing::member_json("s-2", "127.0.0.1:80", 7)}));
+  ASSERT_TRUE(first && next);
+  const Endpoint old = first->members->front().endpoint;
+  EXPECT_NE(old, next->members->front().endpoint);
+  EXPECT_FALSE(directory.apply(list(4, true, {})));
+  EXPECT_TRUE(directory.active(old));
+  directory.apply(list(7, true, {}));
+  EXPECT_FALSE(directory.active(old));
+}
+
+class JournalTest : public ::testing::Test {
+ protected:
+  JournalTest() {
+    std::string pattern = std::filesystem::temp_directory_path() / "umberhoist-journal-XXXXXX";
+    folder_ = ::mkdtemp(pattern.data());
+  }
+  ~JournalTest() override { std::filesystem::remove_all(folder_); }
+
+  static Handed message(const std::string& id, size_t body = 10) {
+    return {id, "keyed", "key", 7, 0, std::string(body, '\0')};
+  }
+  std::string bytes() const {
+    std::ifstream in(folder_ / "journal", std::ios::binary);
+    return {std::istreambuf_iterator<char>(in), {}};
+  }
+
+  std::filesystem::path folder_;
+};
+
+TEST_F(JournalTest, TellsWhatBecameOfEachMessage) {
+  {
+    Journal journal(folder_, 1'000'000);
+    for (const std::string id : {"a", "b", "c", "d"}) ASSERT_TRUE(journal.accepted(message(id), 1234));
+    journal.attempt("a", 0, 100, 1);
+    journal.attempt("a", 1, 200, 0);
+    journal.attempt("b", 0, 100, 1);
+    journal.never_ran("b", 0);
+    journal.owed({"c", true, 500});
+    journal.done("d");
+  }
+  const Journal journal(folder_, 1'000'000);
+  const auto& left = journal.recovered();
+  ASSERT_EQ(left.size(), 3u);
+  EXPECT_EQ(left[0].message.body, std::string(10, '\0'));
+  EXPECT_EQ(left[0].due, 1234);
+  EXPECT_EQ(left[0].attempts, 2);
+  EXPECT_EQ(left[0].unsettled.at(0), std::make_pair(Time{100}, 1));
+  EXPECT_EQ(left[1].attempts, 1);
+  EXPECT_TRUE(left[1].unsettled.empty());
+  ASSERT_TRUE(left[2].owed);
+  EXPECT_TRUE(left[2].owed->returned);
+  EXPECT_EQ(left[2].owed->after, 500);
+}
+
+// SIGKILL may fall between any two bytes: what was written whole before is kept, whatever is cut.
+TEST_F(JournalTest, SurvivesACutAtAnyByte) {
+  size_t first = 0;
+  {
+    Journal journal(folder_, 1'000'000);
+    journal.accepted(message("a"), 1);
+    first = bytes().size();
+    journal.accepted(message("b"), 1);
+  }
+  const std::string whole = bytes();
+  for (size_t cut = first; cut < whole.size(); ++cut) {
+    std::ofstream(folder_ / "journal", std::ios::binary | std::ios::trunc) << whole.substr(0, cut);
+    Journal journal(folder_, 1'000'000);
+    ASSERT_EQ(journal.recovered().size(), 1u) << cut;
+    ASSERT_TRUE(journal.accepted(message("c"), 1));
+    ASSERT_EQ(bytes().size(), whole.size()) << cut;
+  }
+}
+
+TEST_F(JournalTest, StaysWellUnderTheDiskAndKeepsWhatIsLive) {
+  constexpr size_t kDisk = 200'000;
+  {
+    Journal journal(folder_, kDisk);
+    ASSERT_TRUE(journal.accepted(message("kept", 1000), 1));
+    for (int i = 0; i < 2000; ++i) {
+      const std::string id = "m" + std::to_string(i);
+      ASSERT_TRUE(journal.accepted(message(id, 1000), 1));
+      journal.done(id);
+      ASSERT_LT(2 * bytes().size(), kDisk);
+    }
+    int room = 0;
+    while (journal.accepted(message("n" + std::to_string(room), 1000), 1)) ++room;
+    EXPECT_GT(room, 20);
+    EXPECT_TRUE(journal.attempt("kept", 0, 1, 0));  // there is always room for what follows
+  }
+  const Journal journal(folder_, kDisk);
+  EXPECT_EQ(journal.recovered().front().message.id, "kept");
+  EXPECT_EQ(journal.recovered().front().attempts, 1);
+}
+
+TEST_F(JournalTest, TakesAnIdAgainAfterItsEnd) {
+  {
+    Journal journal(folder_, 1'000'000);
+    journal.accepted(message("a"), 1);
+    journal.done("a");
+    journal.accepted(message("a"), 2);
+  }
+  const Journal journal(folder_, 1'000'000);
+  ASSERT_EQ(journal.recovered().size(), 1u);
+  EXPECT_EQ(journal.recovered()[0].due, 2);
+}
+
+}  // namespace
+}  // namespace firspool::relay
--- /dev/null
+++ b/tests/peers.h
@@ -0,0 +1,134 @@
+// The relay's neighbours, played by a test over loopback sockets: a client, a host, discovery, and the
+// program itself as a child process. Each wait is for an event, with a deadline that only a failure reaches.
+#pragma once
+
+#include <gtest/gtest.h>
+#include <sys/types.h>
+
+#include <atomic>
+#include <condition_variable>
+#include <filesystem>
+#include <map>
+#include <mutex>
+#include <nlohmann/json.hpp>
+#include <optional>
+#include <string>
+#include <thread>
+#include <vector>
+
+namespace firspool::testing {
+
+constexpr int kDeadlineMs = 30'000;
+
+class Socket {
+ public:
+  explicit Socket(int fd = -1) : fd_(fd) {}
+  Socket(Socket&& other) noexcept : fd_(std::exchange(other.fd_, -1)) {}
+  Socket& operator=(Socket&& other) noexcept {
+    std::swap(fd_, other.fd_);
+    return *this;
+  }
+  ~Socket() { close(); }
+
+  static Socket listen();
+  static Socket connect(uint16_t port);
+  Socket accept() const;
+
+  bool open() const { return fd_ >= 0; }
+  int fd() const { return fd_; }
+  uint16_t port() const;
+  void close();
+  void reset();  // the peer sees a reset, not an end
+
+  bool send(const std::string& bytes) const;
+  std::string line();                 // without its end; empty at the end of the stream
+  std::string exactly(size_t count);  // shorter at the end of the stream
+
+ private:
+  bool fill();
+
+  int fd_;
+  std::string buffer_;
+};
+
+struct Request {
+  std::string first;
+  std::map<std::string, std::string> headers;  // names in lower case
+  std::string body;
+};
+
+std::optional<Request> read_request(Socket& socket);
+
+// Serves one connection at a time, in the test's own thread.
+class Host {
+ public:
+  uint16_t port() const { return listener_.port(); }
+  std::string address() const { return "127.0.0.1:" + std::to_string(port()); }
+  Request next();  // the next call, on the connection that is open or on a new one
+  void answer(const std::string& status, const std::string& headers = "");
+  void drop() { connection_.close(); }
+  void reset() { connection_.reset(); }
+  int connections() const { return connections_; }
+
+ private:
+  Socket listener_ = Socket::listen();
+  Socket connection_;
+  int connections_ = 0;
+};
+
+class Discovery {
+ public:
+  Discovery();
+  ~Discovery();
+  std::string address() const { return "127.0.0.1:" + std::to_string(listener_.port()); }
+  void tell(const nlohmann::json& list);       // to the watches that are open and those to come
+  nlohmann::json notice();                     // the next one that was answered 204
+  void refuse(int count) { refuse_ = count; }  // so many posts are answered 503 first
+  int refused() const { return refused_; }
+
+ private:
+  void serve(Socket connection);
+
+  Socket listener_ = Socket::listen();
+  std::atomic<bool> over_ = false;
+  std::atomic<int> refuse_ = 0;
+  std::atomic<int> refused_ = 0;
+  std::mutex mutex_;
+  std::condition_variable changed_;
+  std::vector<std::string> told_;
+  std::vector<nlohmann::json> notices_;
+  std::vector<std::thread> threads_;
+  std::thread acceptor_;
+};
+
+nlohmann::json member_json(const std::string& id, const std::string& address, int cell,
+                           const std::string& phase = "active");
+nlohmann::json list_json(int revision, bool complete, std::vector<nlohmann::json> members);
+
+// Class names: safe, keyed, unsafe.
+nlohmann::json config_json(const std::string& discovery, std::vector<nlohmann::json> known);
+
+class Program {
+ public:
+  explicit Program(nlohmann::json config);
+  ~Program();
+
+  void start(int descriptors = 0);
+  void signal(int number);
+  int wait();  // exit status; minus the signal that ended it
+  void kill();
+  std::filesystem::path state() const { return folder_ / "state"; }
+  Socket client() const { return Socket::connect(port_); }
+
+ private:
+  nlohmann::json config_;
+  std::filesystem::path folder_;
+  pid_t child_ = -1;
+  uint16_t port_ = 0;
+  Socket log_;
+  std::thread drain_;
+};
+
+std::string put_bytes(const std::string& id, const std::string& facts, const std::string& body = "body");
+
+}  // namespace firspool::testing
--- a/tests/policy_test.cpp
+++ b/tests/policy_test.cpp
@@ -567,6 +567,55 @@
   EXPECT_EQ(all_of<WatchList>(relay.idle(150'000, 6 * kSecond)).size(), 1u);
 }
 
+// ---- Restarts ----
+
+// A policy that has just been started anew and is told of one message from before.
+std::vector<Action> resumed(const Settings& s, int message_class, int attempts, bool ran, Time since) {
+  Policy policy(s, 1);
+  Arrival in;
+  in.id = 1;
+  in.message_class = message_class;
+  in.destination = 1;
+  in.due = 100 * kSecond + s.classes[message_class].give_up / 2;
+  in.attempts = attempts;
+  in.ran = ran;
+  in.ran_sent = 100 * kSecond - since;
+  std::vector<Action> actions;
+  policy.step(100 * kSecond, std::vector<Event>{members({member(1)}), in}, actions);
+  return actions;
+}
+
+TEST(Restart, ResumedMessagesKeepTheirClassesRules) {
+  Settings s = plain_settings();
+  s.classes.push_back(s.classes[0]);
+  s.classes[2].effect = Effect::kKeyed;
+  s.classes[2].key_window = 5 * kSecond;
+  EXPECT_EQ(all_of<Send>(resumed(s, 0, 1, true, kSecond)).size(), 1u);
+  EXPECT_EQ(all_of<Fail>(resumed(s, 1, 1, true, kSecond)).size(), 1u);
+  EXPECT_EQ(all_of<Send>(resumed(s, 1, 1, false, 0)).size(), 1u);
+  EXPECT_EQ(all_of<Send>(resumed(s, 2, 1, true, kSecond)).size(), 1u);
+  EXPECT_EQ(all_of<Fail>(resumed(s, 2, 1, true, 6 * kSecond)).size(), 1u);        // and not refused
+  EXPECT_EQ(all_of<Refuse>(resumed(s, 0, s.max_attempts, false, 0)).size(), 1u);  // attempts count on
+}
+
+TEST(Restart, AttemptNumbersGoOn) {
+  Relay relay(plain_settings());
+  Arrival in = relay.message(1, 0);
+  in.attempts = 2;
+  const auto sends = all_of<Send>(relay.step(0, {members({member(1)}), in}));
+  ASSERT_EQ(sends.size(), 1u);
+  relay.step(kSecond, {ended(sends[0], 0, Outcome::kError)});  // none of its numbers: passed over
+  EXPECT_TRUE(all_of<Send>(relay.idle(kSecond, 2 * kSecond)).empty());
+  relay.step(2 * kSecond, {ended(sends[0], 2, Outcome::kOk)});
+}
+
+TEST(Restart, NoCallStartsThatMayNotBeOverBeforeTheEnd) {
+  Relay relay(plain_settings());
+  relay.step(0, {members({member(1)}), Closing{4 * kSecond}});
+  EXPECT_EQ(all_of<Send>(relay.step(kSecond, {relay.message(1, kSecond)})).size(), 1u);
+  EXPECT_TRUE(all_of<Send>(relay.step(3'900'000, {relay.message(2, 3'900'000)})).empty());
+}
+
 // ---- Wrong use ----
 
 TEST(WrongUse, IsTold) {
--- /dev/null
+++ b/tests/program_test.cpp
@@ -0,0 +1,266 @@
+// The program as a whole, over loopback sockets: what it accepts, what outlasts it, and how it ends.
+#include <csignal>
+#include <fstream>
+#include <set>
+
+#include "peers.h"
+
+namespace firspool::testing {
+namespace {
+
+const char* const kFacts = "c=keyed,d=60000,k=5c0f6e1a2b3d4c59,dest=7";
+
+std::string facts(const std::string& effect, int destination = 7, int life_ms = 60'000) {
+  return "c=" + effect + ",d=" + std::to_string(life_ms) +
+         ",k=5c0f6e1a2b3d4c59,dest=" + std::to_string(destination);
+}
+
+struct Stage {
+  Host host;
+  Discovery discovery;
+  nlohmann::json config = config_json(discovery.address(), {member_json("s-1", host.address(), 7)});
+  Program program{config};
+
+  std::string put(const std::string& id, const std::string& what, const std::string& body = "body") {
+    Socket client = program.client();
+    client.send(put_bytes(id, what, body));
+    return client.line();
+  }
+  void restart_killed() {
+    program.kill();
+    host.drop();
+    program.start();
+  }
+};
+
+std::string id_of(const Request& call) { return call.headers.at("x-call-id"); }
+
+TEST(Program, DeliversUnchangedAndOwesNothingAfterwards) {
+  Stage s;
+  s.program.start();
+  std::string body = "any bytes: ";
+  body += std::string("\0\r\n\xff", 4);
+  EXPECT_EQ(s.put("9b1f03aa5c7e2d41", kFacts, body), "+OK");
+  const Request call = s.host.next();
+  EXPECT_EQ(call.first, "POST /events HTTP/1.1");
+  EXPECT_EQ(id_of(call), "9b1f03aa5c7e2d41");
+  EXPECT_EQ(call.headers.at("idempotency-key"), "5c0f6e1a2b3d4c59");
+  EXPECT_EQ(call.headers.at("x-budget").back(), 'm');
+  EXPECT_EQ(call.body, body);
+  s.host.answer("200");
+  // The second answer comes after the first message's end was recorded: its call uses the same connection.
+  EXPECT_EQ(s.put("00000000000000b2", kFacts), "+OK");
+  EXPECT_EQ(id_of(s.host.next()), "00000000000000b2");
+  EXPECT_EQ(s.host.connections(), 1);
+  s.restart_killed();
+  EXPECT_EQ(id_of(s.host.next()), "00000000000000b2");
+}
+
+TEST(Program, AnswersPipelinedRequestsInOrderAndPiecesToo) {
+  Stage s;
+  s.program.start();
+  Socket client = s.program.client();
+  const std::string bytes = "*1\r\n$4\r\nPING\r\n" + put_bytes("a1", facts("keyed", 99)) +
+                            "*1\r\n$3\r\nFOO\r\n" + put_bytes("a2", "c=nosuch,d=1,dest=7") +
+                            "*1\r\n$4\r\nping\r\n";
+  for (const char byte : bytes) ASSERT_TRUE(client.send(std::string(1, byte)));
+  EXPECT_EQ(client.line(), "+PONG");
+  EXPECT_EQ(client.line(), "+OK");
+  EXPECT_TRUE(client.line().starts_with("-ERR"));
+  EXPECT_TRUE(client.line().starts_with("-ERR"));
+  EXPECT_EQ(client.line(), "+PONG");
+}
+
+TEST(Program, AnswersMalformedBytesAndCloses) {
+  Stage s;
+  s.program.start();
+  for (const std::string bytes :
+       {"GET / HTTP/1.1\r\n", "*1\r\n$99999999\r\n", "*-1\r\n", "*1\r\n$1\r\nab\r\n"}) {
+    Socket client = s.program.client();
+    client.send(bytes);
+    EXPECT_TRUE(client.line().starts_with("-ERR")) << bytes;
+    EXPECT_EQ(client.exactly(1), "") << bytes;
+  }
+  Socket client = s.program.client();
+  client.send("*1\r\n$4\r\nPING\r\n");
+  EXPECT_EQ(client.line(), "+PONG");
+}
+
+TEST(Program, TurnsAwayWhatIsOverItsRoom) {
+  Stage s;
+  s.config["settings"]["bounds"]["open_cap"] = 4;
+  Program small(s.config);
+  small.start();
+  Socket client = small.client();
+  for (int i = 0; i < 4; ++i) {  // all out at once: none can be given back
+    client.send(put_bytes("m" + std::to_string(i), kFacts));
+    EXPECT_EQ(client.line(), "+OK");
+  }
+  client.send(put_bytes("m4", kFacts));
+  EXPECT_TRUE(client.line().starts_with("-BUSY"));
+}
+
+// A call that was out when the process died may have run.
+TEST(Program, ResendsSafeAndKeyedMessagesThatWereOutAtAKill) {
+  for (const std::string effect : {"safe", "keyed"}) {
+    Stage s;
+    s.program.start();
+    EXPECT_EQ(s.put("00000000000000a1", facts(effect)), "+OK");
+    s.host.next();
+    s.restart_killed();
+    const Request again = s.host.next();
+    EXPECT_EQ(id_of(again), "00000000000000a1") << effect;
+    EXPECT_EQ(again.headers.at("idempotency-key"), "5c0f6e1a2b3d4c59");
+    EXPECT_EQ(again.body, "body");
+    s.host.answer("200");
+  }
+}
+
+TEST(Program, FailsUnsafeMessagesThatWereOutAtAKill) {
+  Stage s;
+  s.program.start();
+  EXPECT_EQ(s.put("00000000000000a1", facts("unsafe")), "+OK");
+  s.host.next();
+  s.restart_killed();
+  EXPECT_EQ(s.discovery.notice(), nlohmann::json({{"id", "00000000000000a1"}, {"state", "failed"}}));
+  EXPECT_EQ(s.put("00000000000000a2", facts("unsafe")), "+OK");
+  EXPECT_EQ(id_of(s.host.next()), "00000000000000a2");
+}
+
+// Refused at once it never ran, and the record of that outlasts the process.
+TEST(Program, ResendsAnUnsafeMessageThatWasTurnedAwayBeforeAKill) {
+  Stage s;
+  s.program.start();
+  EXPECT_EQ(s.put("00000000000000a1", facts("unsafe")), "+OK");
+  s.host.next();
+  s.host.answer("429", "Retry-After: 30.0\r\n");
+  // That the answer was read shows in what follows it: a message elsewhere goes out on a later turn.
+  Host other;
+  s.discovery.tell(list_json(2, false, {member_json("s-2", other.address(), 8)}));
+  EXPECT_EQ(s.put("00000000000000a2", facts("safe", 8)), "+OK");
+  other.next();
+  other.answer("200");
+  s.restart_killed();
+  EXPECT_EQ(id_of(s.host.next()), "00000000000000a1");
+}
+
+TEST(Program, CutsATornTailAndKeepsWhatStandsBeforeIt) {
+  Stage s;
+  s.program.start();
+  EXPECT_EQ(s.put("00000000000000a1", facts("keyed", 99)), "+OK");
+  s.program.kill();
+  std::ofstream(s.program.state() / "journal", std::ios::app | std::ios::binary)
+      << std::string("\x40\0\0\0torn", 8);
+  s.program.start();
+  EXPECT_EQ(s.put("00000000000000a2", facts("keyed", 99)), "+OK");
+  s.program.kill();
+  s.discovery.tell(list_json(2, false, {member_json("s-2", s.host.address(), 99)}));
+  s.program.start();
+  std::set<std::string> ids;
+  for (int i = 0; i < 2; ++i) {
+    ids.insert(id_of(s.host.next()));
+    s.host.answer("200");
+    s.host.drop();
+  }
+  EXPECT_EQ(ids, (std::set<std::string>{"00000000000000a1", "00000000000000a2"}));
+}
+
+TEST(Program, TurnsAwayWhatItsFolderHasNoRoomFor) {
+  Stage s;
+  s.config["limits"]["disk_mb"] = 0.02;
+  Program small(s.config);
+  small.start();
+  Socket client = small.client();
+  client.send(put_bytes("00000000000000a1", kFacts, std::string(8000, 'x')));
+  EXPECT_EQ(client.line(), "-BUSY");
+  client.send(put_bytes("00000000000000a2", kFacts, std::string(1000, 'x')));
+  EXPECT_EQ(client.line(), "+OK");
+  EXPECT_EQ(id_of(s.host.next()), "00000000000000a2");
+}
+
+TEST(Program, SendsANoticeAgainUntilItIsTaken) {
+  Stage s;
+  s.discovery.refuse(2);
+  s.program.start();
+  EXPECT_EQ(s.put("00000000000000a1", facts("unsafe")), "+OK");
+  s.host.next();
+  s.host.reset();
+  EXPECT_EQ(s.discovery.notice(), nlohmann::json({{"id", "00000000000000a1"}, {"state", "failed"}}));
+  EXPECT_EQ(s.discovery.refused(), 2);
+}
+
+TEST(Program, OwesANoticeAfterARestart) {
+  Stage s;
+  s.discovery.refuse(1'000'000);
+  s.program.start();
+  EXPECT_EQ(s.put("00000000000000a1", facts("unsafe")), "+OK");
+  s.host.next();
+  s.host.reset();
+  while (s.discovery.refused() == 0) std::this_thread::yield();
+  s.program.kill();
+  s.discovery.refuse(0);
+  s.program.start();
+  EXPECT_EQ(s.discovery.notice(), nlohmann::json({{"id", "00000000000000a1"}, {"state", "failed"}}));
+}
+
+TEST(Program, EndsAMessageWhoseTimePassedWhileItWasDown) {
+  Stage s;
+  s.program.start();
+  EXPECT_EQ(s.put("00000000000000a1", facts("keyed", 99, 300)), "+OK");
+  s.program.kill();
+  s.program.start();
+  EXPECT_EQ(s.discovery.notice(), nlohmann::json({{"id", "00000000000000a1"}, {"state", "returned"}}));
+}
+
+TEST(Program, FollowsTheWatch) {
+  Stage s;
+  Host replacement;
+  s.program.start();
+  s.discovery.tell(list_json(
+      2, false,
+      {member_json("s-1", s.host.address(), 7, "leaving"), member_json("s-2", replacement.address(), 8)}));
+  EXPECT_EQ(s.put("00000000000000a1", facts("keyed", 8)), "+OK");
+  EXPECT_EQ(id_of(replacement.next()), "00000000000000a1");
+  replacement.answer("200");
+  s.discovery.tell(list_json(3, false, {member_json("s-3", replacement.address(), 7)}));
+  EXPECT_EQ(s.put("00000000000000a2", facts("keyed", 7)), "+OK");
+  EXPECT_EQ(id_of(replacement.next()), "00000000000000a2");  // and not to the one that leaves
+}
+
+TEST(Program, SigtermLetsACallFinishAndKeepsTheRest) {
+  Stage s;
+  s.program.start();
+  Socket client = s.program.client();
+  client.send(put_bytes("00000000000000a1", facts("unsafe")));
+  EXPECT_EQ(client.line(), "+OK");
+  client.send(put_bytes("00000000000000a2", facts("keyed", 99)));
+  EXPECT_EQ(client.line(), "+OK");
+  s.host.next();
+  s.program.signal(SIGTERM);
+  client.send("*1\r\n$4\r\nPING\r\n");
+  EXPECT_EQ(client.line(), "+PONG");
+  EXPECT_EQ(client.exactly(1), "");  // closed between requests
+  s.host.answer("200");
+  EXPECT_EQ(s.program.wait(), 0);
+  s.discovery.tell(list_json(2, false, {member_json("s-2", s.host.address(), 99)}));
+  s.host.drop();
+  s.program.start();
+  EXPECT_EQ(id_of(s.host.next()), "00000000000000a2");
+}
+
+// Out of descriptors an accept fails again at once: the relay waits a little and serves on.
+TEST(Program, SurvivesRunningOutOfDescriptors) {
+  Stage s;
+  s.program.start(40);
+  std::vector<Socket> crowd;
+  for (int i = 0; i < 60; ++i) crowd.push_back(s.program.client());
+  crowd.front().send("*1\r\n$4\r\nPING\r\n");
+  EXPECT_EQ(crowd.front().line(), "+PONG");
+  crowd.clear();
+  Socket client = s.program.client();
+  client.send("*1\r\n$4\r\nPING\r\n");
+  EXPECT_EQ(client.line(), "+PONG");
+}
+
+}  // namespace
+}  // namespace firspool::testing
