--- a/include/firspool/policy.h
+++ b/include/firspool/policy.h
@@ -10,6 +10,7 @@
 
 #include <compare>
 #include <cstdint>
+#include <limits>
 #include <memory>
 #include <span>
 #include <string>
@@ -174,12 +175,23 @@
   std::string bytes;
 };
 
+// What a fresh module would not know of a destination: it is told by Remember, and given back after a restart
+// by the caller, before any message is. Outages of routes apart are not told.
+struct DestinationMemory {
+  int destination = 0;
+  int tokens = 0;       // of the retry bucket, in its parts
+  Time out_since = 0;   // 0: no outage
+  Time back_since = 0;  // 0: still out
+  double base = 0;      // own served rate before it
+  bool operator==(const DestinationMemory&) const = default;
+};
+
 struct Closing {  // this process ends soon: a call that may not be over by then is not started
   Time at = 0;
 };
 
-using Event =
-    std::variant<MembersChanged, Arrival, AttemptEnded, ProbeEnded, Withdrawn, TimerFired, PeerNote, Closing>;
+using Event = std::variant<MembersChanged, Arrival, AttemptEnded, ProbeEnded, Withdrawn, TimerFired, PeerNote,
+                           Closing, DestinationMemory>;
 
 // ---- Actions ----
 
@@ -187,6 +199,7 @@
   uint64_t id = 0;
   Endpoint endpoint;
   Time timeout = 0;
+  Time start_by = std::numeric_limits<Time>::max();  // no byte of it may be written later
 };
 
 struct Refuse {  // ends the message; a retry by the client is harmless
@@ -226,8 +239,12 @@
   std::string text;
 };
 
+struct Remember {  // the newest word on a destination
+  DestinationMemory memory;
+};
+
 using Action =
-    std::variant<Send, Refuse, Fail, Cancel, Probe, CloseIdle, SetTimer, WatchList, TellPeers, Log>;
+    std::variant<Send, Refuse, Fail, Cancel, Probe, CloseIdle, SetTimer, WatchList, TellPeers, Log, Remember>;
 
 class Policy {
  public:
--- a/relay/directory.cpp
+++ b/relay/directory.cpp
@@ -42,6 +42,7 @@
     host.member.kind = index_of(names.kinds, entry.at("flavor").get<std::string>());
     host.member.destination = entry.at("cell").get<int>();
     host.member.weight = entry.value("size", 0.0);
+    host.text = entry.dump();
     out.hosts.push_back(std::move(host));
   }
   return out;
--- a/relay/directory.h
+++ b/relay/directory.h
@@ -18,7 +18,8 @@
 struct ListedHost {
   std::string id;
   tcp::endpoint address;
-  Member member;  // its endpoint is filled in by the Directory
+  Member member;     // its endpoint is filled in by the Directory
+  std::string text;  // the entry as it came
 };
 
 struct HostList {
@@ -49,6 +50,7 @@
   const ListedHost* find(const Endpoint& endpoint) const;
   bool active(const Endpoint& endpoint) const;
   int64_t revision() const { return revision_; }
+  const std::map<Endpoint, ListedHost>& hosts() const { return hosts_; }
 
  private:
   int64_t revision_ = -1;
--- a/relay/discovery.cpp
+++ b/relay/discovery.cpp
@@ -95,12 +95,13 @@
 };
 
 Watch::Watch(boost::asio::io_context& io, const tcp::endpoint& address, ListNames names, Revision revision,
-             Told told)
+             Told told, std::function<void()> current)
     : io_(io),
       address_(address),
       names_(std::move(names)),
       revision_(std::move(revision)),
       told_(std::move(told)),
+      current_(std::move(current)),
       pause_(io),
       back_off_(kFirstPause) {
   connect();
@@ -126,13 +127,15 @@
 
 bool Watch::line(const std::string& text) {
   back_off_ = kFirstPause;
-  if (text.find_first_not_of(" \r\t") == std::string::npos) return true;
   try {
-    told_(parse_list(nlohmann::json::parse(text), names_));
-    return true;
+    if (text.find_first_not_of(" \r\t") != std::string::npos) {
+      told_(parse_list(nlohmann::json::parse(text), names_));
+    }
   } catch (const std::exception&) {  // unreadable: from the start, on a new connection
     return false;
   }
+  current_();
+  return true;
 }
 
 // A kept-alive connection for notices, one request at a time.
--- a/relay/discovery.h
+++ b/relay/discovery.h
@@ -24,8 +24,9 @@
   using Told = std::function<void(const HostList&)>;
   using Revision = std::function<int64_t()>;  // the one that is known
 
+  // `current` is called after each line: what there was to tell has been told.
   Watch(boost::asio::io_context& io, const tcp::endpoint& address, ListNames names, Revision revision,
-        Told told);
+        Told told, std::function<void()> current);
   ~Watch();
 
  private:
@@ -40,6 +41,7 @@
   ListNames names_;
   Revision revision_;
   Told told_;
+  std::function<void()> current_;
   boost::asio::steady_timer pause_;
   std::chrono::milliseconds back_off_;
   std::shared_ptr<Stream> stream_;
--- a/relay/journal.cpp
+++ b/relay/journal.cpp
@@ -18,7 +18,7 @@
 constexpr size_t kReserve = 512;      // for a message's attempts and its end
 constexpr size_t kHeader = 8;         // length and checksum
 
-enum Kind : char { kAccepted = 'A', kAttempt = 'T', kNeverRan = 'N', kOwed = 'O', kDone = 'D' };
+enum Kind : char { kAccepted = 'A', kAttempt = 'T', kNeverRan = 'N', kOwed = 'O', kDone = 'D', kFact = 'F' };
 
 class Writer {
  public:
@@ -133,6 +133,7 @@
   Reader in(record);
   const char kind = in.kind();
   const std::string id = in.text();
+  if (kind == kFact) return keep_fact(id, in.text());
   if (kind == kAccepted) {
     Recovered entry;
     entry.message.id = id;
@@ -171,6 +172,24 @@
   live_bytes_ += kHeader + record.size();
 }
 
+void Journal::keep_fact(const std::string& name, const std::string& value) {
+  const auto old = remembered_.find(name);
+  if (old != remembered_.end()) {
+    live_bytes_ -= framed(Writer(kFact, name).text(old->second).payload()).size();
+    remembered_.erase(old);
+  }
+  if (value.empty()) return;
+  live_bytes_ += framed(Writer(kFact, name).text(value).payload()).size();
+  remembered_[name] = value;
+}
+
+void Journal::remember(const std::string& name, const std::string& value) {
+  const auto old = remembered_.find(name);
+  if (value == (old == remembered_.end() ? "" : old->second)) return;
+  keep_fact(name, value);
+  write(framed(Writer(kFact, name).text(value).payload()));
+}
+
 bool Journal::accepted(const Handed& m, Time due) {
   Writer out(kAccepted, m.id);
   out.text(m.message_class).text(m.key).number(m.destination).number(due).text(m.body);
@@ -240,6 +259,7 @@
 
 bool Journal::compact() {
   std::string bytes;
+  for (const auto& [name, value] : remembered_) bytes += framed(Writer(kFact, name).text(value).payload());
   for (const auto& [place, records] : live_) bytes += records;
   if (bytes.size() > most_file_) return false;
   const int fresh = ::open(fresh_path_.c_str(), O_RDWR | O_CREAT | O_TRUNC | O_APPEND | O_CLOEXEC, 0600);
--- a/relay/journal.h
+++ b/relay/journal.h
@@ -32,6 +32,9 @@
   // In the order in which they were taken on.
   const std::vector<Recovered>& recovered() const { return recovered_; }
 
+  // What was remembered last under each name.
+  const std::map<std::string, std::string>& remembered() const { return remembered_; }
+
   // False: there is no room or it could not be written, and the message must not be taken on.
   bool accepted(const Handed& message, Time due);
   // False: it could not be written, and the call must not start.
@@ -39,10 +42,13 @@
   void never_ran(const std::string& id, int number);
   void owed(const Notice& notice);
   void done(const std::string& id);
+  // A fact beside the messages; the last value of a name counts, an empty one forgets it.
+  void remember(const std::string& name, const std::string& value);
 
  private:
   void replay();
   void apply(std::string_view record, std::map<std::string, size_t>& places);
+  void keep_fact(const std::string& name, const std::string& value);
   bool append(const std::string& id, const std::string& payload);
   bool write(std::string_view bytes);
   bool compact();
@@ -57,6 +63,7 @@
   std::map<std::string, uint64_t> places_;  // live messages, in the order they came
   std::map<uint64_t, std::string> live_;    // and their records as written
   std::vector<Recovered> recovered_;
+  std::map<std::string, std::string> remembered_;
 };
 
 }  // namespace firspool::relay
--- a/relay/main.cpp
+++ b/relay/main.cpp
@@ -13,9 +13,9 @@
     std::signal(SIGPIPE, SIG_IGN);
     boost::asio::io_context io(1);
     boost::asio::signal_set signals(io, SIGTERM, SIGINT);
-    firspool::relay::Relay relay(io, firspool::relay::load_config());
-    const auto address = relay.address();
-    std::fprintf(stderr, "listening on %s:%u\n", address.address().to_string().c_str(), address.port());
+    firspool::relay::Relay relay(io, firspool::relay::load_config(), [](const auto& address) {
+      std::fprintf(stderr, "listening on %s:%u\n", address.address().to_string().c_str(), address.port());
+    });
     signals.async_wait([&relay](const boost::system::error_code& error, int) {
       if (!error) relay.stop();
     });
--- a/relay/relay.cpp
+++ b/relay/relay.cpp
@@ -1,16 +1,23 @@
 #include "relay.h"
 
+#include <algorithm>
 #include <boost/asio/post.hpp>
 #include <cstdio>
+#include <nlohmann/json.hpp>
 
 namespace firspool::relay {
 namespace {
 
+const std::string kHost = "host ";  // names of what is remembered
+const std::string kDestination = "destination ";
+const std::string kRevision = "revision";
+
 constexpr Time kMs = 1000;
 constexpr Time kServeOn = 500 * kMs;    // after SIGTERM: new connections still come for a while
 constexpr Time kLastCall = 3500 * kMs;  // SIGKILL follows 3.7 s after SIGTERM at the soonest
 constexpr Time kStopPoll = 50 * kMs;
-constexpr Time kTransit = 2 * kMs;  // a message's time runs from its client's sending
+constexpr Time kFirstWord = 300 * kMs;  // discovery answers at once, unless it is down
+constexpr Time kTransit = 2 * kMs;      // a message's time runs from its client's sending
 
 Upstream::Limits upstream_limits(const Config& config) {
   Upstream::Limits out;
@@ -26,7 +33,8 @@
 
 }  // namespace
 
-Relay::Relay(boost::asio::io_context& io, const Config& config)
+Relay::Relay(boost::asio::io_context& io, const Config& config,
+             std::function<void(const tcp::endpoint&)> listening)
     : io_(io),
       config_(config),
       journal_(config.state, config.disk_bytes),
@@ -42,11 +50,68 @@
       watch_(
           io, config.discovery, config.names,
           [this, known = config.known.revision] { return std::max(known, directory_.revision()); },
-          [this](const HostList& list) { told(list); }),
-      clients_(io, config.listen, config.sockets / 2,
-               [this](Handed handed, Clients::Answer answer) { put(std::move(handed), std::move(answer)); }) {
+          [this](const HostList& list) { told(list); }, [this] { open(); }),
+      listening_(std::move(listening)),
+      open_timer_(io) {
   told(config_.known);
+  recall();
+  open_timer_.expires_after(std::chrono::microseconds(kFirstWord));
+  open_timer_.async_wait([this](const boost::system::error_code& error) {
+    if (!error) open();
+  });
+}
+
+// What the process before knew of hosts and destinations. The configuration's list may be older: hosts that
+// were told to drain would be sent to again.
+void Relay::recall() {
+  const auto& facts = journal_.remembered();
+  HostList list;
+  list.complete = true;
+  std::vector<DestinationMemory> memories;
+  const Time offset = steady_now() - wall_now();
+  const auto steady = [&](Time t) { return t == 0 ? 0 : t + offset; };
+  nlohmann::json members = nlohmann::json::array();
+  for (const auto& [name, value] : facts) {
+    const nlohmann::json fact = nlohmann::json::parse(value);
+    if (name == kRevision) list.revision = fact.get<int64_t>();
+    if (name.starts_with(kHost)) members.push_back(fact);
+    if (name.starts_with(kDestination)) {
+      memories.push_back({std::stoi(name.substr(kDestination.size())), fact.at("tokens").get<int>(),
+                          steady(fact.at("out_since").get<Time>()), steady(fact.at("back_since").get<Time>()),
+                          fact.at("base").get<double>()});
+    }
+  }
+  list.hosts =
+      parse_list({{"revision", list.revision}, {"complete", true}, {"members", members}}, config_.names)
+          .hosts;
+  if (!list.hosts.empty()) told(list);
+  for (const DestinationMemory& memory : memories) happened(memory);
+}
+
+void Relay::remember(const DestinationMemory& memory) {
+  const Time offset = wall_now() - steady_now();
+  const auto wall = [&](Time t) { return t == 0 ? 0 : t + offset; };
+  const nlohmann::json fact = {{"tokens", memory.tokens},
+                               {"out_since", wall(memory.out_since)},
+                               {"back_since", wall(memory.back_since)},
+                               {"base", memory.base}};
+  journal_.remember(kDestination + std::to_string(memory.destination), fact.dump());
+}
+
+int Relay::class_of(const std::string& name) const {
+  const auto& classes = config_.settings.classes;
+  const auto it = std::find_if(classes.begin(), classes.end(), [&](const auto& c) { return c.name == name; });
+  return it == classes.end() ? -1 : static_cast<int>(it - classes.begin());
+}
+
+// Only now messages are taken on or resumed: what discovery had to tell at once has been heard.
+void Relay::open() {
+  if (clients_ || stopping_since_ != 0) return;
   resume();
+  clients_.emplace(io_, config_.listen, config_.sockets / 2, [this](Handed handed, Clients::Answer answer) {
+    put(std::move(handed), std::move(answer));
+  });
+  listening_(clients_->address());
 }
 
 // Messages from before a restart are the module's to decide on, like any other.
@@ -66,11 +131,7 @@
     numbers_[entry.message.id] = number;
     Arrival in;
     in.id = number;
-    in.message_class = -1;
-    for (size_t i = 0; i < config_.settings.classes.size(); ++i) {
-      if (config_.settings.classes[i].name == entry.message.message_class)
-        in.message_class = static_cast<int>(i);
-    }
+    in.message_class = class_of(entry.message.message_class);
     if (in.message_class < 0) {  // no class of these settings: nothing is known of what it allows
       finish(number, Notice{entry.message.id, false, 0});
       continue;
@@ -90,10 +151,7 @@
 
 void Relay::put(Handed handed, Clients::Answer answer) {
   if (numbers_.contains(handed.id)) return answer("+OK");  // sent once more: it is held already
-  int message_class = -1;
-  for (size_t i = 0; i < config_.settings.classes.size(); ++i) {
-    if (config_.settings.classes[i].name == handed.message_class) message_class = static_cast<int>(i);
-  }
+  const int message_class = class_of(handed.message_class);
   if (message_class < 0) return answer("-ERR unknown class");
   if (held_.size() >= static_cast<size_t>(config_.settings.max_open)) return answer("-BUSY");
   const uint64_t number = ++last_number_;
@@ -109,7 +167,13 @@
 }
 
 void Relay::told(const HostList& list) {
-  if (auto change = directory_.apply(list)) happened(std::move(*change));
+  auto change = directory_.apply(list);
+  if (!change) return;
+  happened(std::move(*change));
+  for (const auto& [handle, host] : directory_.hosts()) {
+    journal_.remember(kHost + host.id, host.member.listing == Listing::kGone ? "" : host.text);
+  }
+  journal_.remember(kRevision, std::to_string(directory_.revision()));
 }
 
 std::pair<int, Endpoint> Relay::lane_of(const Member& member) const {
@@ -123,7 +187,7 @@
 bool Relay::may_start(const Call& call) {
   const auto held = held_.find(call.id);
   const ListedHost* host = directory_.find(call.endpoint);
-  if (held == held_.end() || host == nullptr || host->member.listing != Listing::kReady) return false;
+  if (held == held_.end() || !directory_.active(call.endpoint) || steady_now() > call.start_by) return false;
   const auto wait = waits_.find(lane_of(host->member));
   if (wait != waits_.end() && wait->second > steady_now()) return false;
   return journal_.attempt(held->second.handed.id, call.attempt, wall_now(), host->member.zone);
@@ -222,6 +286,7 @@
     call.key = held->second.handed.key;
     call.body = held->second.handed.body;
     call.timeout = send->timeout;
+    call.start_by = send->start_by;
     upstream_.call(std::move(call));
   } else if (const auto* refuse = std::get_if<Refuse>(&action)) {
     const auto held = held_.find(refuse->id);
@@ -238,6 +303,8 @@
     upstream_.close_idle(close->endpoint);
   } else if (const auto* timer = std::get_if<SetTimer>(&action)) {
     wakes_.insert(timer->at);
+  } else if (const auto* memory = std::get_if<Remember>(&action)) {
+    remember(memory->memory);
   } else if (const auto* log = std::get_if<Log>(&action)) {
     std::fprintf(stderr, "%s\n", log->text.c_str());
   }
@@ -280,7 +347,7 @@
   const Time age = steady_now() - stopping_since_;
   if (age >= kServeOn && !closed_) {
     closed_ = true;
-    clients_.finish();
+    if (clients_) clients_->finish();
   }
   const bool idle = held_.empty() && notices_.empty();
   if (age >= kLastCall || (closed_ && idle)) return io_.stop();
--- a/relay/relay.h
+++ b/relay/relay.h
@@ -6,6 +6,7 @@
 #include <boost/asio/steady_timer.hpp>
 #include <functional>
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
 #include <unordered_map>
@@ -22,14 +23,14 @@
 
 class Relay {
  public:
-  // Reads the journal, then opens the listener. Throws std::exception where it cannot serve.
-  Relay(boost::asio::io_context& io, const Config& config);
+  // Reads the journal, hears discovery if it answers, then opens the listener and says so. Throws
+  // std::exception where it cannot serve.
+  Relay(boost::asio::io_context& io, const Config& config,
+        std::function<void(const tcp::endpoint&)> listening);
 
   // Planned end: serves a little longer, lets calls finish, and stops the event loop.
   void stop();
 
-  tcp::endpoint address() const { return clients_.address(); }
-
  private:
   struct Held {
     Handed handed;
@@ -41,7 +42,11 @@
     Clients::Answer answer;
   };
 
+  void recall();
+  void open();
   void resume();
+  void remember(const DestinationMemory& memory);
+  int class_of(const std::string& name) const;
   void put(Handed handed, Clients::Answer answer);
   void told(const HostList& list);
   bool may_start(const Call& call);
@@ -75,7 +80,9 @@
   Notices notices_;
   Upstream upstream_;
   Watch watch_;
-  Clients clients_;
+  std::function<void(const tcp::endpoint&)> listening_;
+  boost::asio::steady_timer open_timer_;
+  std::optional<Clients> clients_;  // once what was taken on before is resumed
 };
 
 }  // namespace firspool::relay
--- a/relay/upstream.h
+++ b/relay/upstream.h
@@ -24,6 +24,7 @@
   std::string key;
   std::string body;
   Time timeout = 0;
+  Time start_by = 0;  // no byte of it may be written later
 };
 
 class Upstream {
--- a/sim/wire.cpp
+++ b/sim/wire.cpp
@@ -209,6 +209,7 @@
     put<uint16_t>(out, 0xffff);
     put_text(out, a.bytes);
   }
+  void operator()(const Remember&) const {}
   void operator()(const Log& a) const {
     put<uint8_t>(out, 10);
     put_text(out, a.text);
@@ -318,9 +319,11 @@
 }
 
 void Encoder::actions(int instance, std::span<const Action> actions) {
-  if (actions.empty()) return;
+  const auto kept = [](const Action& action) { return std::holds_alternative<Remember>(action); };
+  if (std::all_of(actions.begin(), actions.end(), kept)) return;
   speaking(instance);
   for (const Action& action : actions) {
+    if (std::holds_alternative<Remember>(action)) continue;  // nothing outlasts a simulated relay
     std::visit(ActionWriter{body_}, action);
     ++records_;
   }
--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -60,7 +60,8 @@
 constexpr double kAgainCut = 0.5;    // and after each further one with nothing served between
 constexpr double kLimitGain = 0.03;  // regained, as a part of the pace, with each served call
 constexpr double kLimitBurst = 0.4;  // seconds of the pace that may go at once
-constexpr double kShedAbove = 0.9;   // part of max_open above which the least worth is given back
+constexpr Time kWindowMargin = 50 * kMs;  // a call is under way for a while before its host looks at its key
+constexpr double kShedAbove = 0.9;        // part of max_open above which the least worth is given back
 
 // Ordering and choice of endpoint.
 constexpr double kSecondsPerPrice = 5;  // seconds of latency that a price of 1 a call is held against
@@ -196,6 +197,7 @@
   int kind = 0;
   int tokens = kBucketCap;  // in parts
   int calls = 0;
+  DestinationMemory remembered{0, kBucketCap};
   Latency usual;  // the pace without outliers, against which the slot share narrows
   Latency latency;
 };
@@ -224,6 +226,7 @@
     settle();
     dispatch();
     shed();
+    remember();
     arm();
   }
 
@@ -248,7 +251,9 @@
       host.lane = &lane_of(m);
       host.ready = m.listing == Listing::kReady;
       by_destination_[m.destination][m.endpoint] = &host;
-      destinations_[m.destination].kind = m.kind;
+      Destination& d = destinations_[m.destination];
+      d.kind = m.kind;
+      d.remembered.destination = m.destination;
       if (set_.weights != Weights::kNone && m.weight > 0 && host.ready) host.lane->limit = m.weight;
     }
   }
@@ -297,6 +302,20 @@
     if (static_cast<Time>(e.token) == armed_) armed_ = kNever;
   }
   void fold(const PeerNote&) {}
+  void fold(const DestinationMemory& e) {
+    Destination& d = destinations_[e.destination];
+    d.tokens = std::clamp(e.tokens, 0, kBucketCap);
+    d.remembered = e;
+    if (e.out_since == 0) return;
+    const LaneKey key = {e.destination, Endpoint{}};
+    Lane& l = lanes_[key];
+    l.key = key;
+    l.out_since = e.out_since;
+    l.back_since = e.back_since;
+    l.base = e.base;
+    l.cold = {0, now_};
+    watch(l);
+  }
   void fold(const Closing& e) { closing_ = e.at; }
 
   void fold(const ProbeEnded& e) {
@@ -574,6 +593,22 @@
     l.pacer = {0.5 - seconds(random_.between(0, kSecond)), now_};
   }
 
+  // An outage that rests on suspicion alone is not worth keeping.
+  void remember() {
+    for (auto& [number, d] : destinations_) {
+      DestinationMemory next{number, d.tokens - d.tokens % kToken};
+      const auto lane = lanes_.find({number, Endpoint{}});
+      if (lane != lanes_.end() && lane->second.out_since != 0 && !lane->second.suspected) {
+        next.out_since = lane->second.out_since;
+        next.back_since = lane->second.back_since;
+        next.base = lane->second.base;
+      }
+      if (next == d.remembered) continue;
+      d.remembered = next;
+      out_->push_back(Remember{next});
+    }
+  }
+
   // Share of the relays that were handed a message for the lane in the outage, and so know of it.
   double knowing(const Lane& l) const {
     const Time end = l.back_since == 0 ? now_ : l.back_since;
@@ -889,7 +924,10 @@
     m.out = true;
     ++calls_[last_call_];
     attempts_[{m.in.id, m.attempts++}] = {host.member.endpoint, now_, last_call_, false, scout, idle_};
-    out_->push_back(Send{m.in.id, host.member.endpoint, timeout_of(m, d)});
+    Send out{m.in.id, host.member.endpoint, timeout_of(m, d)};
+    const bool window = m.ran && set_.classes[m.in.message_class].effect == Effect::kKeyed;
+    if (window) out.start_by = window_end(m) - kWindowMargin;
+    out_->push_back(out);
   }
 
   // ---- The list and the timer ----
--- a/tests/parts_test.cpp
+++ b/tests/parts_test.cpp
@@ -158,6 +158,18 @@
   EXPECT_EQ(journal.recovered().front().attempts, 1);
 }
 
+TEST_F(JournalTest, RemembersTheLastValueOfAName) {
+  constexpr size_t kDisk = 200'000;
+  {
+    Journal journal(folder_, kDisk);
+    for (int i = 0; i < 10'000; ++i) journal.remember("a", std::to_string(i));
+    journal.remember("b", "x");
+    journal.remember("b", "");
+    EXPECT_LT(2 * bytes().size(), kDisk);
+  }
+  EXPECT_EQ(Journal(folder_, kDisk).remembered(), (std::map<std::string, std::string>{{"a", "9999"}}));
+}
+
 TEST_F(JournalTest, TakesAnIdAgainAfterItsEnd) {
   {
     Journal journal(folder_, 1'000'000);
--- a/tests/peers.cpp
+++ b/tests/peers.cpp
@@ -156,6 +156,7 @@
     const auto request = read_request(connection);
     if (!request) return;
     if (request->first.starts_with("GET")) {
+      if (mute_) continue;
       connection.send("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n");
       size_t sent = 0;
       while (!over_ && !readable(connection.fd(), 50)) {
--- a/tests/peers.h
+++ b/tests/peers.h
@@ -84,6 +84,7 @@
   void tell(const nlohmann::json& list);       // to the watches that are open and those to come
   nlohmann::json notice();                     // the next one that was answered 204
   void refuse(int count) { refuse_ = count; }  // so many posts are answered 503 first
+  void mute() { mute_ = true; }                // watches get no answer, as while discovery is down
   int refused() const { return refused_; }
 
  private:
@@ -91,6 +92,7 @@
 
   Socket listener_ = Socket::listen();
   std::atomic<bool> over_ = false;
+  std::atomic<bool> mute_ = false;
   std::atomic<int> refuse_ = 0;
   std::atomic<int> refused_ = 0;
   std::mutex mutex_;
--- a/tests/policy_test.cpp
+++ b/tests/policy_test.cpp
@@ -609,6 +609,59 @@
   relay.step(2 * kSecond, {ended(sends[0], 2, Outcome::kOk)});
 }
 
+// Without it a restarted relay would send all that it resumed at once to a destination that is down or cold.
+TEST(Restart, OutagesAndBucketsAreRemembered) {
+  const Settings s = plain_settings();
+  DestinationMemory last;
+  Policy before(s, 1);
+  std::vector<Action> actions;
+  before.step(0, std::vector<Event>{members({member(1)})}, actions);
+  Relay messages(s);
+  for (int i = 0; i < 12; ++i) {
+    const Time now = i * kSecond / 2;
+    actions.clear();
+    before.step(now, std::vector<Event>{messages.message(i + 1, now)}, actions);
+    std::vector<Event> failed;
+    for (const Send& send : all_of<Send>(actions)) failed.push_back(ended(send, 0, Outcome::kConnectFailed));
+    before.step(now + 1000, failed, actions);
+    for (const Remember& word : all_of<Remember>(actions)) last = word.memory;
+  }
+  EXPECT_NE(last.out_since, 0);
+  const auto sends = [&](std::vector<Event> events) {
+    Policy after(s, 2);
+    events.insert(events.begin(), members({member(1)}));
+    for (int i = 0; i < 4; ++i) events.push_back(messages.message(100 + i, 10 * kSecond));
+    actions.clear();
+    after.step(10 * kSecond, events, actions);
+    return all_of<Send>(actions).size();
+  };
+  EXPECT_EQ(sends({}), 4u);
+  EXPECT_LE(sends({last}), 1u);
+}
+
+TEST(Restart, ABucketSpentStaysSpent) {
+  const Settings s = plain_settings();
+  Policy policy(s, 1);
+  Arrival in;
+  in.id = 1;
+  in.destination = 1;
+  in.due = 20 * kSecond;
+  in.attempts = 1;
+  std::vector<Action> actions;
+  policy.step(0, std::vector<Event>{members({member(1)}), DestinationMemory{1, 0}, in}, actions);
+  EXPECT_TRUE(all_of<Send>(actions).empty());
+}
+
+// A connection that comes up late must not carry a keyed repeat past the time that its key is remembered.
+TEST(Restart, AKeyedRepeatSaysWhenItMustHaveStarted) {
+  Settings s = plain_settings();
+  s.classes[0].effect = Effect::kKeyed;
+  s.classes[0].key_window = 5 * kSecond;
+  const auto sends = all_of<Send>(resumed(s, 0, 1, true, kSecond));
+  ASSERT_EQ(sends.size(), 1u);
+  EXPECT_LT(sends[0].start_by, 104 * kSecond);
+}
+
 TEST(Restart, NoCallStartsThatMayNotBeOverBeforeTheEnd) {
   Relay relay(plain_settings());
   relay.step(0, {members({member(1)}), Closing{4 * kSecond}});
--- a/tests/program_test.cpp
+++ b/tests/program_test.cpp
@@ -227,6 +227,29 @@
   EXPECT_EQ(id_of(replacement.next()), "00000000000000a2");  // and not to the one that leaves
 }
 
+// The configuration's list may be older than what the process before was told, and discovery down.
+TEST(Program, RemembersTheListAcrossARestart) {
+  Stage s;
+  Host other;
+  s.program.start();
+  s.discovery.tell(
+      list_json(2, false,
+                {member_json("s-1", s.host.address(), 7, "leaving"), member_json("s-2", other.address(), 7),
+                 member_json("s-3", other.address(), 8)}));
+  EXPECT_EQ(s.put("00000000000000a1", facts("keyed", 8)), "+OK");  // that it was heard
+  EXPECT_EQ(id_of(other.next()), "00000000000000a1");
+  s.program.kill();
+  s.discovery.mute();
+  s.program.start();
+  EXPECT_EQ(id_of(other.next()), "00000000000000a1");
+  other.answer("200");
+  for (const std::string id : {"00000000000000a2", "00000000000000a3", "00000000000000a4"}) {
+    EXPECT_EQ(s.put(id, facts("keyed", 7)), "+OK");
+    EXPECT_EQ(id_of(other.next()), id);
+    other.answer("200");
+  }
+}
+
 TEST(Program, SigtermLetsACallFinishAndKeepsTheRest) {
   Stage s;
   s.program.start();
