--- a/include/firspool/policy.h
+++ b/include/firspool/policy.h
@@ -142,7 +142,17 @@
   int ran_zone = 0;
 };
 
-enum class Outcome { kOk, kError, kFull, kTimeout, kConnectFailed, kReset, kCancelled, kMoot };
+enum class Outcome {
+  kOk,
+  kError,
+  kFull,
+  kTimeout,
+  kConnectFailed,
+  kReset,
+  kCancelled,
+  kMoot,
+  kSpoilt  // an answer that cannot be read: it may have run, and the host is well
+};
 
 struct AttemptEnded {
   uint64_t id = 0;
--- a/relay/clients.cpp
+++ b/relay/clients.cpp
@@ -1,7 +1,9 @@
 #include "clients.h"
 
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+
 #include <algorithm>
-#include <array>
 #include <boost/asio/write.hpp>
 #include <cctype>
 #include <charconv>
@@ -13,6 +15,20 @@
 namespace {
 
 constexpr auto kAcceptPause = std::chrono::milliseconds(50);
+constexpr auto kSweep = std::chrono::milliseconds(100);
+constexpr Time kSecond = 1'000'000;
+// A client that cannot be served is owed an error or a close within 3 s of connecting.
+constexpr Time kMostSilent = 5 * kSecond / 2;     // with nothing ever sent
+constexpr Time kMostCommand = 2 * kSecond;        // from a command's first byte to its last
+constexpr Time kLeastCommand = 3 * kSecond / 10;  // the first one gets what is left of the silence, but this
+constexpr Time kMostWrite = 2 * kSecond;          // for an answer that the client does not read
+constexpr Time kMostDrain = 5 * kSecond;  // after an error, so that a client still sending gets to read it
+constexpr size_t kMostDrained = 96 * 1024 * 1024;  // bytes, and so many bytes of it
+constexpr size_t kDrainAtOnce = 256 * 1024;
+// For another connection to be let in, at the limit.
+constexpr Time kIdleLeast = 2 * kSecond;         // between requests
+constexpr Time kSilentLeast = 3 * kSecond / 10;  // with nothing ever sent
+constexpr Time kDrainLeast = kSecond;
 constexpr size_t kMostName = 128;                   // ids, keys and class names
 constexpr Time kMostLife = Time{24} * 3600 * 1000;  // milliseconds
 
@@ -26,7 +42,7 @@
   int64_t value = -1;
   const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), value);
   if (error != std::errc() || end != text.data() + text.size() || value < 0 || value > most) {
-    throw std::invalid_argument("'" + std::string(text.substr(0, 20)) + "' is not a number in range");
+    throw std::invalid_argument("a number is unreadable or out of range");  // its bytes could forge a line
   }
   return value;
 }
@@ -69,7 +85,8 @@
 // One client: a request is read, answered, and only then the next one is looked at.
 class Clients::Session : public std::enable_shared_from_this<Session> {
  public:
-  Session(Clients& owner, tcp::socket socket) : owner_(&owner), socket_(std::move(socket)) {}
+  Session(Clients& owner, tcp::socket socket)
+      : owner_(&owner), socket_(std::move(socket)), since_(steady_now()) {}
 
   std::list<std::shared_ptr<Session>>::iterator place;
 
@@ -78,22 +95,28 @@
     try {
       words = parser_.next();
     } catch (const RespError& error) {
-      last_ = true;
-      return answer("-ERR protocol error: " + std::string(error.what()));
+      return refuse("-ERR protocol error: " + std::string(error.what()));
+    }
+    if (words) {
+      began_ = 0;
+      return handle(*words);
     }
-    if (words) return handle(*words);
     if (owner_ == nullptr) return;
-    reading_ = true;
-    socket_.async_read_some(
-        boost::asio::buffer(bytes_),
-        [self = shared_from_this()](auto error, size_t count) { self->read(error, count); });
+    if (parser_.empty()) {
+      began_ = 0;
+    } else if (began_ == 0) {
+      began_ = steady_now();
+    }
+    state_ = State::kReading;
+    socket_.async_wait(tcp::socket::wait_read,
+                       [self = shared_from_this()](auto error) { self->readable(error); });
     if (owner_->finishing_) finish();
   }
 
   // Wakes a pending read, which then decides: bytes that came in the meantime are a request to be served.
   void finish() {
     boost::system::error_code ignored;
-    if (reading_ && parser_.empty()) socket_.cancel(ignored);
+    if (state_ == State::kReading && parser_.empty()) socket_.cancel(ignored);
   }
 
   void orphan() {
@@ -102,31 +125,68 @@
     socket_.close(ignored);
   }
 
- private:
-  void read(const boost::system::error_code& error, size_t count) {
-    reading_ = false;
-    if (owner_ == nullptr) return;
-    if (count > 0) {
-      parser_.feed({bytes_.data(), count});
-      return proceed();
+  // Ends what takes too long. Not by the time since the last byte: dribbled ones would put it off for ever.
+  void check(Time now) {
+    const Time began = state_ == State::kReading && began_ != 0 ? now - began_ : 0;
+    if (began >= kMostCommand || (!spoke_ && began >= kLeastCommand && now - since_ >= kMostSilent)) {
+      refuse("-ERR the command took too long");
+    } else if ((state_ == State::kReading && !spoke_ && began_ == 0 && now - since_ >= kMostSilent &&
+                quiet()) ||
+               (state_ == State::kWriting && now - since_ >= kMostWrite) ||
+               (state_ == State::kDraining && now - since_ >= kMostDrain)) {
+      close();
     }
-    boost::system::error_code failed;
-    if (error == boost::asio::error::operation_aborted && socket_.available(failed) > 0 && !failed) {
-      return proceed_once();
-    }
-    close();
   }
 
-  // A request crossed the decision to close: it is read and served before.
-  void proceed_once() {
+  // How long it could have been closed for another's sake; negative: not now. Never with a request open or
+  // begun.
+  Time spare(Time now) const {
+    const Time age = now - since_;
+    if (state_ == State::kDraining) return age - kDrainLeast;
+    if (state_ != State::kReading || began_ != 0 || !quiet()) return -1;
+    return age - (spoke_ ? kIdleLeast : kSilentLeast);
+  }
+
+  void close() {
+    boost::system::error_code ignored;
+    socket_.shutdown(tcp::socket::shutdown_send, ignored);
+    socket_.close(ignored);
+    state_ = State::kClosed;
+    if (owner_ != nullptr) std::exchange(owner_, nullptr)->forget(place);
+  }
+
+ private:
+  enum class State { kReading, kServing, kWriting, kDraining, kClosed };
+
+  bool quiet() const {
     boost::system::error_code error;
-    const size_t count = socket_.read_some(boost::asio::buffer(bytes_), error);
+    return socket_.available(error) == 0 || error;
+  }
+
+  void readable(const boost::system::error_code& error) {
+    if (owner_ == nullptr || state_ != State::kReading) return;
+    if (error && (error != boost::asio::error::operation_aborted || quiet())) return close();
+    boost::system::error_code failed;
+    const size_t count = socket_.read_some(boost::asio::buffer(owner_->bytes_), failed);
+    if (failed == boost::asio::error::would_block) return proceed();
     if (count == 0) return close();
-    parser_.feed({bytes_.data(), count});
+    came_ = steady_now() - waited();
+    parser_.feed({owner_->bytes_.data(), count});
     proceed();
   }
 
+  // How long the newest byte had been here: a message's time runs from then, also while this process was busy
+  // or the connection stood in the queue to be accepted.
+  Time waited() {
+    tcp_info info{};
+    socklen_t size = sizeof info;
+    if (::getsockopt(socket_.native_handle(), IPPROTO_TCP, TCP_INFO, &info, &size) != 0) return 0;
+    return Time{1000} * info.tcpi_last_data_recv;
+  }
+
   void handle(const std::vector<std::string>& words) {
+    spoke_ = true;
+    state_ = State::kServing;
     const std::string command = upper(words[0]);
     if (command == "PING" && words.size() <= 2) {
       if (words.size() == 1) return answer("+PONG");
@@ -135,7 +195,9 @@
     if (command != "MSG.PUT") return answer("-ERR unknown command");
     if (owner_ == nullptr) return;
     try {
-      owner_->put_(parse_put(words),
+      Handed handed = parse_put(words);
+      handed.life = std::max<Time>(0, handed.life - (steady_now() - came_));
+      owner_->put_(std::move(handed),
                    [self = shared_from_this()](const std::string& line) { self->answer(line); });
     } catch (const std::invalid_argument& error) {
       answer(std::string("-ERR ") + error.what());
@@ -143,38 +205,71 @@
   }
 
   void answer(std::string line) {
+    if (state_ == State::kClosed) return;
     out_ = std::move(line) + "\r\n";
+    state_ = State::kWriting;
+    since_ = steady_now();
     boost::asio::async_write(socket_, boost::asio::buffer(out_),
                              [self = shared_from_this()](auto error, size_t) {
                                if (self->owner_ == nullptr) return;
-                               if (error || self->last_) return self->close();
-                               self->proceed();
+                               if (error) return self->close();
+                               std::string().swap(self->out_);
+                               self->since_ = steady_now();
+                               self->last_ ? self->drain() : self->proceed();
                              });
   }
 
-  void close() {
+  // What follows cannot be read any more. A close with bytes unread would be a reset, which may overtake the
+  // error: the sending side ends, and what still comes is thrown away for a while.
+  void refuse(const std::string& line) {
+    last_ = true;
+    answer(line);
+  }
+
+  void drain() {
     boost::system::error_code ignored;
+    socket_.cancel(ignored);
     socket_.shutdown(tcp::socket::shutdown_send, ignored);
-    socket_.close(ignored);
-    if (owner_ != nullptr) std::exchange(owner_, nullptr)->forget(place);
+    parser_ = RespParser();
+    state_ = State::kDraining;
+    drain_on();
+  }
+
+  void drain_on() {
+    socket_.async_wait(tcp::socket::wait_read, [self = shared_from_this()](auto error) {
+      if (self->owner_ == nullptr || self->state_ != State::kDraining) return;
+      if (error == boost::asio::error::operation_aborted) return self->drain_on();
+      if (error) return self->close();
+      const ssize_t got =
+          ::recv(self->socket_.native_handle(), nullptr, kDrainAtOnce, MSG_TRUNC | MSG_DONTWAIT);
+      if (got > 0) self->drained_ += static_cast<size_t>(got);
+      const bool empty = got < 0 && (errno == EAGAIN || errno == EINTR);
+      if ((got <= 0 && !empty) || self->drained_ > kMostDrained) return self->close();
+      self->drain_on();
+    });
   }
 
   Clients* owner_;
   tcp::socket socket_;
   RespParser parser_;
-  std::array<char, 16 * 1024> bytes_;
   std::string out_;
-  bool reading_ = false;
+  State state_ = State::kReading;
+  Time since_;      // when it connected, was last answered, or an answer or the draining began
+  Time came_ = 0;   // when the newest byte came
+  Time began_ = 0;  // when a command's first byte was read; 0: none has begun
+  size_t drained_ = 0;
+  bool spoke_ = false;
   bool last_ = false;
 };
 
 Clients::Clients(boost::asio::io_context& io, const tcp::endpoint& listen, size_t most, Put put)
-    : io_(io), acceptor_(io), pause_(io), most_(most), put_(std::move(put)) {
+    : io_(io), acceptor_(io), pause_(io), sweeper_(io), most_(most), put_(std::move(put)) {
   acceptor_.open(listen.protocol());
   acceptor_.set_option(tcp::acceptor::reuse_address(true));
   acceptor_.bind(listen);
   acceptor_.listen();
   accept();
+  sweep();
 }
 
 Clients::~Clients() {
@@ -182,8 +277,7 @@
 }
 
 void Clients::accept() {
-  // At the limit further clients wait in the backlog: to close one would lose what it has written.
-  if (finishing_ || accepting_ || sessions_.size() >= most_) return;
+  if (finishing_ || accepting_ || (sessions_.size() >= most_ && !make_room())) return;
   accepting_ = true;
   acceptor_.async_accept([this](const boost::system::error_code& error, tcp::socket socket) {
     if (error == boost::asio::error::operation_aborted) return;
@@ -197,6 +291,7 @@
     }
     boost::system::error_code ignored;
     socket.set_option(tcp::no_delay(true), ignored);
+    socket.non_blocking(true, ignored);
     auto session = std::make_shared<Session>(*this, std::move(socket));
     session->place = sessions_.insert(sessions_.end(), session);
     session->proceed();
@@ -204,6 +299,38 @@
   });
 }
 
+// At the limit the connection that has been of no use for longest goes. Clients keep connections for good,
+// and some connect and say nothing: they would shut out those that have something to hand in.
+bool Clients::make_room() {
+  const Time now = steady_now();
+  std::shared_ptr<Session> best;
+  Time most = 0;
+  for (const auto& session : sessions_) {
+    const Time spare = session->spare(now);
+    if (spare < most) continue;
+    most = spare;
+    best = session;
+  }
+  if (!best) return false;  // the next look is the sweep's
+  accepting_ = true;        // closing it asks for the next accept: that is the caller's
+  best->close();
+  accepting_ = false;
+  return true;
+}
+
+void Clients::sweep() {
+  const Time now = steady_now();
+  for (auto next = sessions_.begin(); next != sessions_.end();) {
+    const auto session = *next++;
+    session->check(now);
+  }
+  accept();
+  sweeper_.expires_after(kSweep);
+  sweeper_.async_wait([this](const boost::system::error_code& error) {
+    if (!error) sweep();
+  });
+}
+
 void Clients::forget(std::list<std::shared_ptr<Session>>::iterator place) {
   sessions_.erase(place);
   accept();
--- a/relay/clients.h
+++ b/relay/clients.h
@@ -1,6 +1,7 @@
 // The side that clients connect to: RESP2 over TCP.
 #pragma once
 
+#include <array>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <functional>
@@ -20,7 +21,7 @@
   using Answer = std::function<void(std::string line)>;  // called once, with a RESP line without its end
   using Put = std::function<void(Handed message, Answer answer)>;
 
-  // Listens at once; throws boost::system::system_error.
+  // Listens at once, and holds at most `most` connections; throws boost::system::system_error.
   Clients(boost::asio::io_context& io, const tcp::endpoint& listen, size_t most, Put put);
   ~Clients();
 
@@ -33,15 +34,19 @@
   class Session;
 
   void accept();
+  bool make_room();
+  void sweep();
   void forget(std::list<std::shared_ptr<Session>>::iterator place);
 
   boost::asio::io_context& io_;
   tcp::acceptor acceptor_;
   boost::asio::steady_timer pause_;
+  boost::asio::steady_timer sweeper_;
   size_t most_;
   Put put_;
   bool accepting_ = false;
   bool finishing_ = false;
+  std::array<char, 64 * 1024> bytes_;  // what was read last, of any connection
   std::list<std::shared_ptr<Session>> sessions_;
 };
 
--- a/relay/directory.cpp
+++ b/relay/directory.cpp
@@ -8,6 +8,8 @@
 namespace firspool::relay {
 namespace {
 
+constexpr Time kKeepGone = 120'000'000;  // no agent is further behind
+
 int index_of(const std::vector<std::string>& names, const std::string& name) {
   return static_cast<int>(std::find(names.begin(), names.end(), name) - names.begin());
 }
@@ -42,33 +44,81 @@
     host.member.kind = index_of(names.kinds, entry.at("flavor").get<std::string>());
     host.member.destination = entry.at("cell").get<int>();
     host.member.weight = entry.value("size", 0.0);
+    host.up_since = 1000 * entry.value("up_since_ms", Time{0});
     host.text = entry.dump();
     out.hosts.push_back(std::move(host));
   }
   return out;
 }
 
-std::optional<MembersChanged> Directory::apply(const HostList& list) {
-  if (list.revision < revision_ || (list.revision == revision_ && !list.complete)) return {};
-  revision_ = list.revision;
-  if (list.complete) {
-    for (auto& [handle, host] : hosts_) host.member.listing = Listing::kGone;
+// Whether an older list's entry undoes what was told: an id that has left comes back only with a new start.
+bool Directory::brings_back(const ListedHost& listed) const {
+  const auto gone = gone_.find(listed.id);
+  if (gone != gone_.end()) return listed.up_since <= gone->second;
+  const auto handle = handles_.find(listed.id);
+  return handle != handles_.end() && hosts_.at(handle->second).member.listing >= listed.member.listing;
+}
+
+void Directory::set(const ListedHost& listed, Time wall, std::vector<Member>& changed) {
+  const bool left = listed.member.listing == Listing::kGone;
+  auto handle = handles_.find(listed.id);
+  if (handle == handles_.end()) {
+    if (left) return void(gone_.try_emplace(listed.id, wall));
+    handle = handles_.emplace(listed.id, Endpoint{++last_handle_, 0}).first;
+  }
+  ListedHost& host = hosts_[handle->second];
+  host = listed;
+  host.member.endpoint = handle->second;
+  changed.push_back(host.member);
+  destinations_.insert(host.member.destination);
+  if (left) {
+    gone_.try_emplace(listed.id, wall);
+  } else {
+    gone_.erase(listed.id);
   }
+}
+
+std::optional<MembersChanged> Directory::apply(const HostList& list, Time wall) {
+  const bool behind = list.revision < revision_;
+  revision_ = std::max(revision_, list.revision);
   auto members = std::make_shared<std::vector<Member>>();
+  if (list.complete && !behind) {
+    std::set<std::string> listed;
+    for (const ListedHost& host : list.hosts) listed.insert(host.id);
+    for (auto& [handle, host] : hosts_) {
+      if (listed.contains(host.id) || host.member.listing == Listing::kGone) continue;
+      host.member.listing = Listing::kGone;
+      gone_.try_emplace(host.id, wall);
+      members->push_back(host.member);
+    }
+  }
   for (const ListedHost& listed : list.hosts) {
-    const auto next = static_cast<uint32_t>(handles_.size() + 1);
-    const Endpoint handle = handles_.try_emplace(listed.id, Endpoint{next, 0}).first->second;
-    ListedHost& host = hosts_[handle];
-    host = listed;
-    host.member.endpoint = handle;
-    members->push_back(host.member);
+    if (!behind || !brings_back(listed)) set(listed, wall, *members);
   }
+  if (members->empty()) return {};
   MembersChanged out;
-  out.form = list.complete ? MembersChanged::Form::kFull : MembersChanged::Form::kDelta;
+  out.form = MembersChanged::Form::kDelta;
   out.members = std::move(members);
   return out;
 }
 
+void Directory::forget(const Endpoint& endpoint) {
+  const auto it = hosts_.find(endpoint);
+  if (it == hosts_.end()) return;
+  handles_.erase(it->second.id);
+  hosts_.erase(it);
+}
+
+std::vector<std::string> Directory::prune(Time wall) {
+  std::vector<std::string> out;
+  std::erase_if(gone_, [&](const auto& entry) {
+    if (wall - entry.second < kKeepGone || handles_.contains(entry.first)) return false;
+    out.push_back(entry.first);
+    return true;
+  });
+  return out;
+}
+
 const ListedHost* Directory::find(const Endpoint& endpoint) const {
   const auto it = hosts_.find(endpoint);
   return it == hosts_.end() ? nullptr : &it->second;
--- a/relay/directory.h
+++ b/relay/directory.h
@@ -6,6 +6,7 @@
 #include <map>
 #include <nlohmann/json_fwd.hpp>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -18,8 +19,9 @@
 struct ListedHost {
   std::string id;
   tcp::endpoint address;
-  Member member;     // its endpoint is filled in by the Directory
-  std::string text;  // the entry as it came
+  Member member;      // its endpoint is filled in by the Directory
+  Time up_since = 0;  // wall clock; 0: long ago
+  std::string text;   // the entry as it came
 };
 
 struct HostList {
@@ -43,19 +45,35 @@
 // A machine that takes over another's address has an id of its own, so handles stand for ids, not addresses.
 class Directory {
  public:
-  // Takes a list over; returns what to tell the module, or nothing where the list is older than what is
-  // known.
-  std::optional<MembersChanged> apply(const HostList& list);
+  // Takes a list over; returns what to tell the module, if it changes anything. An agent may be behind what
+  // was told before: its list then only moves hosts on, and brings none back.
+  std::optional<MembersChanged> apply(const HostList& list, Time wall);
 
   const ListedHost* find(const Endpoint& endpoint) const;
   bool active(const Endpoint& endpoint) const;
+  bool known(int destination) const { return destinations_.contains(destination); }  // had a host at any time
+  void add_destination(int destination) { destinations_.insert(destination); }
   int64_t revision() const { return revision_; }
   const std::map<Endpoint, ListedHost>& hosts() const { return hosts_; }
+  const std::set<int>& destinations() const { return destinations_; }
+
+  // For a host that is gone and has nothing out on it any more. Its id is kept for a while, against old
+  // lists.
+  void forget(const Endpoint& endpoint);
+  const std::map<std::string, Time>& gone() const { return gone_; }
+  void add_gone(const std::string& id, Time wall) { gone_[id] = wall; }
+  std::vector<std::string> prune(Time wall);  // the ids that are kept no longer
 
  private:
+  bool brings_back(const ListedHost& listed) const;
+  void set(const ListedHost& listed, Time wall, std::vector<Member>& changed);
+
   int64_t revision_ = -1;
+  uint32_t last_handle_ = 0;
   std::map<std::string, Endpoint> handles_;
   std::map<Endpoint, ListedHost> hosts_;
+  std::map<std::string, Time> gone_;  // when that was told
+  std::set<int> destinations_;
 };
 
 }  // namespace firspool::relay
--- a/relay/discovery.cpp
+++ b/relay/discovery.cpp
@@ -13,6 +13,7 @@
 constexpr milliseconds kFirstPause{50};
 constexpr milliseconds kLongestPause{2000};
 constexpr milliseconds kSilence{5000};  // an empty line is due every 2 s
+constexpr size_t kMostOld = 2;
 constexpr milliseconds kPostTimeout{1000};
 constexpr size_t kMostLine = 8 * 1024 * 1024;
 constexpr size_t kMostNotices = 200;  // in one request: well under the largest body
@@ -24,16 +25,17 @@
 // One connection with one endless answer.
 class Watch::Stream : public std::enable_shared_from_this<Stream> {
  public:
-  explicit Stream(Watch& owner) : owner_(&owner), socket_(owner.io_), timer_(owner.io_) {}
+  explicit Stream(Watch& owner)
+      : owner_(&owner), address_(owner.address_), socket_(owner.io_), timer_(owner.io_) {}
 
   void start(int64_t revision) {
     heard();
     request_.version(11);
     request_.method(http::verb::get);
     request_.target("/api/targets?stream=1&index=" + std::to_string(revision));
-    request_.set(http::field::host, owner_->address_.address().to_string());
+    request_.set(http::field::host, address_.address().to_string());
     parser_.body_limit(boost::none);
-    socket_.async_connect(owner_->address_, [self = shared_from_this()](const Error& error) {
+    socket_.async_connect(address_, [self = shared_from_this()](const Error& error) {
       if (error) return self->end();
       http::async_write(self->socket_, self->request_, [self](const Error& failed, size_t) {
         if (failed) return self->end();
@@ -82,10 +84,11 @@
   }
 
   void end() {
-    if (owner_ != nullptr) owner_->lost();
+    if (owner_ != nullptr) owner_->lost(shared_from_this());
   }
 
   Watch* owner_;
+  tcp::endpoint address_;
   tcp::socket socket_;
   boost::asio::steady_timer timer_;
   http::request<http::empty_body> request_;
@@ -109,6 +112,20 @@
 
 Watch::~Watch() {
   if (stream_) stream_->close();
+  for (const auto& stream : old_) stream->close();
+}
+
+void Watch::move(const tcp::endpoint& address) {
+  if (address == address_) return;
+  address_ = address;
+  if (stream_) old_.push_back(std::exchange(stream_, nullptr));
+  if (old_.size() > kMostOld) {
+    old_.front()->close();
+    old_.erase(old_.begin());
+  }
+  pause_.cancel();
+  back_off_ = kFirstPause;
+  connect();
 }
 
 void Watch::connect() {
@@ -116,12 +133,14 @@
   stream_->start(revision_());
 }
 
-void Watch::lost() {
-  stream_->close();
+void Watch::lost(const std::shared_ptr<Stream>& stream) {
+  stream->close();
+  if (stream != stream_) return void(std::erase(old_, stream));
+  stream_.reset();
   pause_.expires_after(back_off_);
   back_off_ = longer(back_off_);
   pause_.async_wait([this](const Error& error) {
-    if (!error) connect();
+    if (!error && !stream_) connect();
   });
 }
 
@@ -213,6 +232,17 @@
   if (queue_.size() == 1) proceed();
 }
 
+void Notices::move(const tcp::endpoint& address) {
+  if (address == address_) return;
+  address_ = address;
+  if (post_) post_->close();
+  post_.reset();
+  out_ = 0;
+  pause_.cancel();
+  back_off_ = kFirstPause;
+  proceed();
+}
+
 void Notices::proceed() {
   if (out_ > 0 || queue_.empty()) return;
   std::string body;
--- a/relay/discovery.h
+++ b/relay/discovery.h
@@ -19,6 +19,8 @@
 namespace firspool::relay {
 
 // Follows the watch for as long as it lives: a connection that ends or falls silent is opened again.
+// Discovery may move to another address: what the old one has written still counts, so it is heard to its
+// end.
 class Watch {
  public:
   using Told = std::function<void(const HostList&)>;
@@ -29,11 +31,13 @@
         Told told, std::function<void()> current);
   ~Watch();
 
+  void move(const tcp::endpoint& address);
+
  private:
   class Stream;
 
   void connect();
-  void lost();
+  void lost(const std::shared_ptr<Stream>& stream);
   bool line(const std::string& text);
 
   boost::asio::io_context& io_;
@@ -45,6 +49,7 @@
   boost::asio::steady_timer pause_;
   std::chrono::milliseconds back_off_;
   std::shared_ptr<Stream> stream_;
+  std::vector<std::shared_ptr<Stream>> old_;  // of addresses before, until they end
 };
 
 // Sends notices, each again until it is answered with 204.
@@ -56,6 +61,8 @@
   ~Notices();
 
   void add(Notice notice);
+  // What is unanswered goes to the new address, at once.
+  void move(const tcp::endpoint& address);
   bool empty() const { return queue_.empty(); }
 
  private:
--- a/relay/main.cpp
+++ b/relay/main.cpp
@@ -8,17 +8,37 @@
 #include "config.h"
 #include "relay.h"
 
+namespace {
+
+// A file that cannot be read whole or is not valid changes nothing.
+void reload(firspool::relay::Relay& relay) {
+  try {
+    relay.reload(firspool::relay::load_config());
+    std::fprintf(stderr, "configuration read again\n");
+  } catch (const std::exception& error) {
+    std::fprintf(stderr, "configuration stays as it was: %s\n", error.what());
+  }
+}
+
+void await_signal(boost::asio::signal_set& signals, firspool::relay::Relay& relay) {
+  signals.async_wait([&](const boost::system::error_code& error, int number) {
+    if (error) return;
+    number == SIGHUP ? reload(relay) : relay.stop();
+    await_signal(signals, relay);
+  });
+}
+
+}  // namespace
+
 int main() {
   try {
     std::signal(SIGPIPE, SIG_IGN);
     boost::asio::io_context io(1);
-    boost::asio::signal_set signals(io, SIGTERM, SIGINT);
+    boost::asio::signal_set signals(io, SIGTERM, SIGINT, SIGHUP);
     firspool::relay::Relay relay(io, firspool::relay::load_config(), [](const auto& address) {
       std::fprintf(stderr, "listening on %s:%u\n", address.address().to_string().c_str(), address.port());
     });
-    signals.async_wait([&relay](const boost::system::error_code& error, int) {
-      if (!error) relay.stop();
-    });
+    await_signal(signals, relay);
     io.run();
     return 0;
   } catch (const std::exception& error) {
--- a/relay/message.h
+++ b/relay/message.h
@@ -14,7 +14,7 @@
   std::string message_class;
   std::string key;  // idempotency key; empty if none
   int destination = 0;
-  Time life = 0;  // how long it may still be delivered
+  Time life = 0;  // how long it may still be delivered, when its last byte came
   std::string body;
 };
 
--- a/relay/relay.cpp
+++ b/relay/relay.cpp
@@ -10,7 +10,9 @@
 
 const std::string kHost = "host ";  // names of what is remembered
 const std::string kDestination = "destination ";
+const std::string kGone = "gone ";
 const std::string kRevision = "revision";
+const std::string kDestinations = "destinations";
 
 constexpr Time kMs = 1000;
 constexpr Time kServeOn = 500 * kMs;    // after SIGTERM: new connections still come for a while
@@ -19,11 +21,27 @@
 constexpr Time kFirstWord = 300 * kMs;  // discovery answers at once, unless it is down
 constexpr Time kTransit = 2 * kMs;      // a message's time runs from its client's sending
 
+// The descriptors: those of the process itself, clients, and calls with their idle connections. Calls have
+// what they need, then clients, who need a third for requests, half; idle connections what is left.
+constexpr size_t kOwnDescriptors =
+    24;  // standard ones, event loop, signals, listener, journal twice, watches, notices
+constexpr size_t kProbes = 8;
+
+size_t most_calls(const Config& config) {
+  const size_t half = (config.sockets - kOwnDescriptors) / 2;
+  return std::min(half, static_cast<size_t>(config.settings.slots) + kProbes);
+}
+
+size_t most_clients(const Config& config) {
+  return std::min(config.sockets / 2, config.sockets - kOwnDescriptors - most_calls(config));
+}
+
 Upstream::Limits upstream_limits(const Config& config) {
   Upstream::Limits out;
   out.connect_timeout = config.settings.connect_timeout;
   out.idle = config.settings.conn_idle;
-  out.most_idle = config.sockets / 4;
+  out.most_open = config.sockets - kOwnDescriptors - most_clients(config);
+  for (const ClassSettings& c : config.settings.classes) out.most_wait = std::max(out.most_wait, c.give_up);
   return out;
 }
 
@@ -46,15 +64,18 @@
           io, upstream_limits(config), config.report_fields,
           [this](const Call& call) { return may_start(call); },
           [this](const AttemptEnded& end, bool began) { ended(end, began); },
-          [this](const ProbeEnded& end) { happened(end); }),
+          [this](const ProbeEnded& end) {
+            happened(end);
+            back(end.endpoint);
+          }),
       watch_(
           io, config.discovery, config.names,
           [this, known = config.known.revision] { return std::max(known, directory_.revision()); },
           [this](const HostList& list) { told(list); }, [this] { open(); }),
       listening_(std::move(listening)),
       open_timer_(io) {
-  told(config_.known);
   recall();
+  told(config_.known);
   open_timer_.expires_after(std::chrono::microseconds(kFirstWord));
   open_timer_.async_wait([this](const boost::system::error_code& error) {
     if (!error) open();
@@ -74,6 +95,10 @@
   for (const auto& [name, value] : facts) {
     const nlohmann::json fact = nlohmann::json::parse(value);
     if (name == kRevision) list.revision = fact.get<int64_t>();
+    if (name.starts_with(kGone)) directory_.add_gone(name.substr(kGone.size()), fact.get<Time>());
+    if (name == kDestinations) {
+      for (const int destination : fact.get<std::vector<int>>()) directory_.add_destination(destination);
+    }
     if (name.starts_with(kHost)) members.push_back(fact);
     if (name.starts_with(kDestination)) {
       memories.push_back({std::stoi(name.substr(kDestination.size())), fact.at("tokens").get<int>(),
@@ -108,7 +133,7 @@
 void Relay::open() {
   if (clients_ || stopping_since_ != 0) return;
   resume();
-  clients_.emplace(io_, config_.listen, config_.sockets / 2, [this](Handed handed, Clients::Answer answer) {
+  clients_.emplace(io_, config_.listen, most_clients(config_), [this](Handed handed, Clients::Answer answer) {
     put(std::move(handed), std::move(answer));
   });
   listening_(clients_->address());
@@ -128,6 +153,7 @@
     held.handed = entry.message;
     held.due = now + (entry.due - wall);
     held.attempts = entry.attempts;
+    held.accepted = true;
     numbers_[entry.message.id] = number;
     Arrival in;
     in.id = number;
@@ -150,9 +176,17 @@
 }
 
 void Relay::put(Handed handed, Clients::Answer answer) {
-  if (numbers_.contains(handed.id)) return answer("+OK");  // sent once more: it is held already
+  if (const auto number = numbers_.find(handed.id); number != numbers_.end()) {  // sent once more
+    if (held_.at(number->second).accepted) return answer("+OK");
+    pending_.push_back({number->second, std::move(answer)});
+    return;
+  }
   const int message_class = class_of(handed.message_class);
   if (message_class < 0) return answer("-ERR unknown class");
+  const ClassSettings& settings = config_.settings.classes[message_class];
+  if (settings.effect == Effect::kKeyed && handed.key.empty()) return answer("-ERR no idempotency key");
+  if (handed.life > settings.give_up) return answer("-ERR d is too long");
+  if (!directory_.known(handed.destination)) return answer("-ERR unknown destination");
   if (held_.size() >= static_cast<size_t>(config_.settings.max_open)) return answer("-BUSY");
   const uint64_t number = ++last_number_;
   Arrival in;
@@ -161,19 +195,56 @@
   in.due = steady_now() + handed.life - std::min(kTransit, handed.life);
   in.destination = handed.destination;
   numbers_[handed.id] = number;
-  held_[number] = {std::move(handed), in.due, 0};
+  held_[number] = {std::move(handed), in.due, 0, false};
   pending_.push_back({number, std::move(answer)});
   happened(in);
 }
 
 void Relay::told(const HostList& list) {
-  auto change = directory_.apply(list);
+  const Time wall = wall_now();
+  const auto destinations = directory_.destinations().size();
+  auto change = directory_.apply(list, wall);
+  journal_.remember(kRevision, std::to_string(directory_.revision()));
+  for (const std::string& id : directory_.prune(wall)) journal_.remember(kGone + id, "");
   if (!change) return;
+  const auto members = change->members;
   happened(std::move(*change));
-  for (const auto& [handle, host] : directory_.hosts()) {
-    journal_.remember(kHost + host.id, host.member.listing == Listing::kGone ? "" : host.text);
+  for (const Member& member : *members) {
+    if (const ListedHost* host = directory_.find(member.endpoint)) remember_host(*host);
+    forget_gone(member.endpoint);
   }
-  journal_.remember(kRevision, std::to_string(directory_.revision()));
+  if (directory_.destinations().size() != destinations) {
+    journal_.remember(kDestinations, nlohmann::json(directory_.destinations()).dump());
+  }
+  std::erase_if(waits_, [now = steady_now()](const auto& wait) { return wait.second <= now; });
+}
+
+void Relay::remember_host(const ListedHost& host) {
+  const bool gone = host.member.listing == Listing::kGone;
+  journal_.remember(kHost + host.id, gone ? "" : host.text);
+  journal_.remember(kGone + host.id, gone ? std::to_string(directory_.gone().at(host.id)) : "");
+}
+
+// Its connections are of no use, and a machine that takes its address over must not get them. It is known
+// until its last call has ended.
+void Relay::forget_gone(const Endpoint& endpoint) {
+  const ListedHost* host = directory_.find(endpoint);
+  if (host == nullptr || host->member.listing != Listing::kGone) return;
+  upstream_.close_idle(endpoint);
+  if (!out_.contains(endpoint)) directory_.forget(endpoint);
+}
+
+void Relay::back(const Endpoint& endpoint) {
+  const auto out = out_.find(endpoint);
+  if (out == out_.end() || --out->second > 0) return;
+  out_.erase(out);
+  forget_gone(endpoint);
+}
+
+void Relay::reload(const Config& config) {
+  config_.discovery = config.discovery;
+  watch_.move(config.discovery);
+  notices_.move(config.discovery);
 }
 
 std::pair<int, Endpoint> Relay::lane_of(const Member& member) const {
@@ -210,6 +281,7 @@
     }
   }
   happened(end);
+  back(end.endpoint);
 }
 
 void Relay::happened(Event event) {
@@ -246,22 +318,26 @@
   }
   std::vector<Pending> pending;
   pending.swap(pending_);
+  std::map<uint64_t, std::string> answers;  // one for all who handed the same message in
   for (const Pending& item : pending) {
+    const auto [line, fresh] = answers.try_emplace(item.number, "+OK");
     const auto held = held_.find(item.number);
-    if (held == held_.end()) continue;
-    const Handed& handed = held->second.handed;
-    std::string line = "+OK";
-    if (const auto away = turned_away.find(item.number); away != turned_away.end()) {
-      line = away->second;
-    } else if (!journal_.accepted(handed, wall_now() + held->second.due - steady_now())) {
-      line = "-BUSY";  // no room on the disk
-      happened(Withdrawn{item.number});
-    }
-    if (line != "+OK") {
-      numbers_.erase(handed.id);
-      held_.erase(held);
+    if (fresh && held != held_.end()) {
+      const Handed& handed = held->second.handed;
+      if (const auto away = turned_away.find(item.number); away != turned_away.end()) {
+        line->second = away->second;
+      } else if (journal_.accepted(handed, wall_now() + held->second.due - steady_now())) {
+        held->second.accepted = true;
+      } else {
+        line->second = "-BUSY";  // no room on the disk
+        happened(Withdrawn{item.number});
+      }
+      if (!held->second.accepted) {
+        numbers_.erase(handed.id);
+        held_.erase(held);
+      }
     }
-    item.answer(line);
+    item.answer(line->second);
   }
 }
 
@@ -269,12 +345,13 @@
   if (const auto* send = std::get_if<Send>(&action)) {
     const auto held = held_.find(send->id);
     const ListedHost* host = directory_.find(send->endpoint);
-    if (held == held_.end() || host == nullptr) {  // given back in this very turn for want of room
+    if (held == held_.end() || host == nullptr) {
       AttemptEnded moot;
       moot.id = send->id;
       moot.endpoint = send->endpoint;
       moot.outcome = Outcome::kMoot;
-      moot.final = true;
+      moot.final = held == held_.end();  // given back in this very turn for want of room
+      if (!moot.final) moot.attempt = held->second.attempts++;
       return happened(std::move(moot));
     }
     Call call;
@@ -287,6 +364,7 @@
     call.body = held->second.handed.body;
     call.timeout = send->timeout;
     call.start_by = send->start_by;
+    ++out_[call.endpoint];
     upstream_.call(std::move(call));
   } else if (const auto* refuse = std::get_if<Refuse>(&action)) {
     const auto held = held_.find(refuse->id);
@@ -298,7 +376,9 @@
     upstream_.cancel(cancel->id, cancel->attempt);
   } else if (const auto* probe = std::get_if<Probe>(&action)) {
     const ListedHost* host = directory_.find(probe->endpoint);
-    if (host != nullptr) upstream_.probe(probe->endpoint, host->address);
+    if (host == nullptr) return happened(ProbeEnded{probe->endpoint, false, 0, {}});
+    ++out_[probe->endpoint];
+    upstream_.probe(probe->endpoint, host->address);
   } else if (const auto* close = std::get_if<CloseIdle>(&action)) {
     upstream_.close_idle(close->endpoint);
   } else if (const auto* timer = std::get_if<SetTimer>(&action)) {
--- a/relay/relay.h
+++ b/relay/relay.h
@@ -28,6 +28,9 @@
   Relay(boost::asio::io_context& io, const Config& config,
         std::function<void(const tcp::endpoint&)> listening);
 
+  // Takes the new configuration's discovery over; the rest of it holds from the next start on.
+  void reload(const Config& config);
+
   // Planned end: serves a little longer, lets calls finish, and stops the event loop.
   void stop();
 
@@ -36,6 +39,7 @@
     Handed handed;
     Time due = 0;
     int attempts = 0;
+    bool accepted = false;  // its record is written
   };
   struct Pending {  // handed in during this turn, not yet decided on
     uint64_t number = 0;
@@ -46,11 +50,14 @@
   void open();
   void resume();
   void remember(const DestinationMemory& memory);
+  void remember_host(const ListedHost& host);
+  void forget_gone(const Endpoint& endpoint);
   int class_of(const std::string& name) const;
   void put(Handed handed, Clients::Answer answer);
   void told(const HostList& list);
   bool may_start(const Call& call);
   void ended(const AttemptEnded& end, bool began);
+  void back(const Endpoint& endpoint);
   void happened(Event event);
   void step();
   void answer_pending(const std::vector<Action>& actions);
@@ -72,6 +79,7 @@
   std::unordered_map<uint64_t, Held> held_;
   std::unordered_map<std::string, uint64_t> numbers_;
   std::map<std::pair<int, Endpoint>, Time> waits_;  // told waits: until when nothing goes there
+  std::map<Endpoint, int> out_;                     // calls and probes out
   std::set<Time> wakes_;
   boost::asio::steady_timer wake_timer_;
   boost::asio::steady_timer stop_timer_;
--- a/relay/resp.cpp
+++ b/relay/resp.cpp
@@ -1,6 +1,7 @@
 #include "resp.h"
 
 #include <charconv>
+#include <utility>
 
 namespace firspool::relay {
 namespace {
@@ -26,8 +27,14 @@
 
 }  // namespace
 
+// What was returned goes once for all commands of a read: hundreds may come at once.
+void RespParser::feed(std::string_view bytes) {
+  buffer_.erase(0, std::exchange(read_, 0));
+  buffer_.append(bytes);
+}
+
 std::optional<std::vector<std::string>> RespParser::next() {
-  const std::string_view bytes = buffer_;
+  const std::string_view bytes = std::string_view(buffer_).substr(read_);
   size_t at = 0;
   const auto count = header(bytes, at, '*');
   if (!count) return {};
@@ -43,7 +50,11 @@
     at += *length + 2;
   }
   std::vector<std::string> out(words.begin(), words.end());
-  buffer_.erase(0, at);
+  read_ += at;
+  if (empty()) {  // a connection that is idle keeps no large buffer
+    std::string().swap(buffer_);
+    read_ = 0;
+  }
   return out;
 }
 
--- a/relay/resp.h
+++ b/relay/resp.h
@@ -20,15 +20,16 @@
   static constexpr size_t kMostWord = 64 * 1024;  // the largest body
   static constexpr size_t kMostBytes = kMostWord + 8 * 1024;
 
-  void feed(std::string_view bytes) { buffer_.append(bytes); }
+  void feed(std::string_view bytes);
 
   // The next whole command; nothing if more bytes are needed. Throws RespError on what is no command.
   std::optional<std::vector<std::string>> next();
 
-  bool empty() const { return buffer_.empty(); }
+  bool empty() const { return read_ == buffer_.size(); }
 
  private:
   std::string buffer_;
+  size_t read_ = 0;  // what stands before it was returned
 };
 
 }  // namespace firspool::relay
--- a/relay/upstream.cpp
+++ b/relay/upstream.cpp
@@ -7,6 +7,7 @@
 #include <boost/beast/http.hpp>
 #include <charconv>
 #include <cmath>
+#include <limits>
 #include <optional>
 
 namespace firspool::relay {
@@ -21,6 +22,26 @@
 constexpr size_t kMostBody = 64 * 1024;
 constexpr size_t kMostPerHost = 64;  // idle
 
+constexpr size_t kMostAnswer = 2 * kMostBody;  // all that is read of one, heads and 1xx answers included
+constexpr size_t kReadAtOnce = 4 * 1024;
+constexpr Time kRest = 300 * 1000;  // an answer that has begun is whole within this time, or it never will be
+constexpr Time kSettle = 2 * 1000;  // what a host sends behind an answer comes within this time
+constexpr double kMostReported = 1e9;
+constexpr std::string_view kVersion = "HTTP/1.";
+
+std::chrono::steady_clock::time_point at_time(Time t) {
+  return std::chrono::steady_clock::time_point(std::chrono::microseconds(t));
+}
+
+// A status line with 200, also where nothing behind it can be read.
+bool says_ok(std::string_view head) {
+  constexpr std::string_view kOk = " 200";
+  const size_t code = kVersion.size() + 1;
+  return head.starts_with(kVersion) && head.size() > code + kOk.size() &&
+         head.substr(code, kOk.size()) == kOk &&
+         std::string_view(" \r\n").find(head[code + kOk.size()]) != std::string_view::npos;
+}
+
 // A closed or chattering peer shows in what can be read from a connection that should be silent.
 bool usable(tcp::socket& socket) {
   char byte = 0;
@@ -28,26 +49,35 @@
   return got < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
 }
 
-double decimal(std::string_view text) {
+std::optional<double> decimal(std::string_view text) {
   double value = 0;
   const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), value);
-  return error == std::errc() && std::isfinite(value) && value > 0 ? std::min(value, 3600.0) : 0;
+  if (error != std::errc() || end != text.data() + text.size() || !std::isfinite(value) || value < 0)
+    return {};
+  return value;
+}
+
+// A wait that is no number is none; one that outlasts every message is held to that.
+Time parse_wait(std::string_view text, Time most) {
+  return static_cast<Time>(std::ceil(std::min(decimal(text).value_or(0) * 1e6, static_cast<double>(most))));
 }
 
 std::string_view view(boost::beast::string_view text) { return {text.data(), text.size()}; }
 
+// All of it or nothing: a field that cannot be read would pass for a limit or a load of zero.
 std::vector<float> parse_report(std::string_view text, const std::vector<std::string>& fields) {
   if (fields.empty() || text.empty()) return {};
-  std::vector<float> out(fields.size(), 0);
+  std::vector<float> out(fields.size(), std::numeric_limits<float>::quiet_NaN());  // not told
   while (!text.empty()) {
     const std::string_view item = text.substr(0, text.find(','));
     text.remove_prefix(std::min(text.size(), item.size() + 1));
     const size_t equals = item.find('=');
-    if (equals == std::string_view::npos) continue;
+    if (equals == std::string_view::npos) return {};
     const auto field = std::find(fields.begin(), fields.end(), item.substr(0, equals));
-    if (field != fields.end()) {
-      out[static_cast<size_t>(field - fields.begin())] = static_cast<float>(decimal(item.substr(equals + 1)));
-    }
+    if (field == fields.end()) continue;
+    const auto value = decimal(item.substr(equals + 1));
+    if (!value || *value > kMostReported) return {};
+    out[static_cast<size_t>(field - fields.begin())] = static_cast<float>(*value);
   }
   return out;
 }
@@ -66,19 +96,10 @@
     begun_ = steady_now();
     deadline_ = begun_ + call_.timeout;
     if (auto kept = owner_->take(call_.endpoint, call_.address)) {
-      socket_ = std::move(*kept);
-      arm(deadline_);
-      return write();
+      socket_ = std::move(kept->socket);
+      return settle(kept->since + kSettle);
     }
-    arm(std::min(deadline_, begun_ + owner_->limits_.connect_timeout));
-    socket_.async_connect(call_.address, [self = shared_from_this()](const Error& error) {
-      if (self->over_) return;
-      if (error) return self->finish(Outcome::kConnectFailed);
-      Error ignored;
-      self->socket_.set_option(tcp::no_delay(true), ignored);
-      self->arm(self->deadline_);
-      self->write();
-    });
+    connect();
   }
 
   void cancel() { give_up(Outcome::kCancelled); }
@@ -92,8 +113,40 @@
   }
 
  private:
+  // A second answer right behind the first would be taken for this call's: it shows before the call is
+  // written.
+  void settle(Time ready) {
+    if (steady_now() >= ready) return reuse();
+    timer_.expires_at(at_time(ready));
+    timer_.async_wait([self = shared_from_this()](const Error& error) {
+      if (!error && !self->over_) self->reuse();
+    });
+  }
+
+  void reuse() {
+    if (usable(socket_)) {
+      arm(deadline_);
+      return write();
+    }
+    Error ignored;
+    socket_.close(ignored);
+    connect();
+  }
+
+  void connect() {
+    arm(std::min(deadline_, begun_ + owner_->limits_.connect_timeout));
+    socket_.async_connect(call_.address, [self = shared_from_this()](const Error& error) {
+      if (self->over_) return;
+      if (error) return self->finish(Outcome::kConnectFailed);
+      Error ignored;
+      self->socket_.set_option(tcp::no_delay(true), ignored);
+      self->arm(self->deadline_);
+      self->write();
+    });
+  }
+
   void arm(Time at) {
-    timer_.expires_at(std::chrono::steady_clock::time_point(std::chrono::microseconds(at)));
+    timer_.expires_at(at_time(at));
     timer_.async_wait([self = shared_from_this()](const Error& error) {
       if (!error && !self->over_) self->give_up(Outcome::kTimeout);
     });
@@ -102,7 +155,7 @@
   // What was never wholly written cannot have run.
   void give_up(Outcome outcome) {
     if (over_) return;
-    if (parser_ && parser_->is_header_done()) return answered(false);
+    if (heard_) return spoilt();
     finish(written_ ? outcome : Outcome::kConnectFailed);
   }
 
@@ -134,22 +187,74 @@
   }
 
   void read() {
-    parser_.emplace();
-    parser_->body_limit(kMostBody);
-    http::async_read_header(
-        socket_, buffer_, *parser_, [self = shared_from_this()](const Error& error, size_t) {
-          if (self->over_) return;
-          if (error) return self->finish(Outcome::kReset);
-          http::async_read(self->socket_, self->buffer_, *self->parser_, [self](const Error& failed, size_t) {
-            if (!self->over_) self->answered(!failed);
-          });
-        });
+    socket_.async_read_some(buffer_.prepare(kReadAtOnce),
+                            [self = shared_from_this()](const Error& error, size_t count) {
+                              if (self->over_) return;
+                              self->buffer_.commit(count);
+                              self->read_ += count;
+                              if (count > 0) return self->heard();
+                              self->ended(error);
+                            });
   }
 
-  // The first line decides, also where the rest of the answer is lost.
-  void answered(bool whole) {
+  // From its first byte on an answer has little time to become whole: a host that spoils it may leave the
+  // connection open, or go on for ever.
+  void heard() {
+    if (!heard_) {
+      heard_ = true;
+      arm(std::min(deadline_, steady_now() + kRest));
+    }
+    if (!parse() || read_ > kMostAnswer) return spoilt();
+    if (parser_ && parser_->is_done()) return answered();
+    read();
+  }
+
+  // False: it is no answer. The buffer holds a first line until the parser takes it.
+  bool parse() {
+    while (true) {
+      if (!parser_) {
+        parser_.emplace();
+        parser_->eager(true);
+        parser_->body_limit(kMostBody);
+      }
+      if (!line_) {
+        const std::string_view head(static_cast<const char*>(buffer_.data().data()), buffer_.size());
+        delivered_ = says_ok(head);
+        if (!kVersion.starts_with(head.substr(0, kVersion.size()))) return false;
+      }
+      Error error;
+      const size_t taken = parser_->put(buffer_.data(), error);
+      line_ = line_ || taken > 0;
+      buffer_.consume(taken);
+      if (error && error != http::error::need_more) return false;
+      if (!parser_->is_done() || parser_->get().result_int() >= 200) return true;
+      parser_.reset();  // 1xx: the answer itself follows
+      line_ = false;
+      if (buffer_.size() == 0) return true;
+    }
+  }
+
+  // The host ended the connection, which may be how it marks an answer's end.
+  void ended(const Error& error) {
+    if (!heard_) return finish(Outcome::kReset);
+    Error cut;
+    if (error == boost::asio::error::eof && parser_ && parser_->is_header_done()) {
+      parser_->put_eof(cut);
+      if (!cut && parser_->is_done()) return answered();
+    }
+    spoilt();
+  }
+
+  // The answer will never be whole. The call may have run whatever status it shows, and has if its first line
+  // says so.
+  void spoilt() {
+    final_ = delivered_;
+    finish(delivered_ ? Outcome::kOk : Outcome::kSpoilt);
+  }
+
+  void answered() {
     const auto& answer = parser_->get();
-    idle_ = whole && parser_->keep_alive() && buffer_.size() == 0;
+    idle_ = parser_->keep_alive() && buffer_.size() == 0;
     report_ = parse_report(view(answer["X-Load-Report"]), owner_->report_fields_);
     switch (answer.result_int()) {
       case 200:
@@ -159,7 +264,7 @@
         final_ = true;
         return finish(Outcome::kMoot);
       case 429:
-        wait_ = static_cast<Time>(std::ceil(decimal(view(answer[http::field::retry_after])) * 1e6));
+        wait_ = parse_wait(view(answer[http::field::retry_after]), owner_->limits_.most_wait);
         return finish(Outcome::kFull);
       case 503:
         return finish(view(answer["X-Egress-Full"]) == "1" ? Outcome::kMoot : Outcome::kFull);
@@ -213,7 +318,11 @@
   bool began_ = false;
   bool written_ = false;
   bool over_ = false;
-  bool idle_ = false;  // the connection may be used again
+  bool idle_ = false;       // the connection may be used again
+  bool heard_ = false;      // the answer has begun
+  bool line_ = false;       // the parser has taken its first line
+  bool delivered_ = false;  // and its first line says 200
+  size_t read_ = 0;
   bool final_ = false;
   Time wait_ = 0;
   std::vector<float> report_;
@@ -248,6 +357,7 @@
 
 void Upstream::start(std::shared_ptr<Exchange> exchange) {
   exchanges_.emplace(exchange->name(), exchange);
+  while (idle_count_ > 0 && exchanges_.size() + idle_count_ > limits_.most_open) close_oldest();
   exchange->start();
 }
 
@@ -265,7 +375,7 @@
   idle_.erase(it);
 }
 
-std::optional<tcp::socket> Upstream::take(const Endpoint& endpoint, const tcp::endpoint& address) {
+std::optional<Upstream::Idle> Upstream::take(const Endpoint& endpoint, const tcp::endpoint& address) {
   const auto it = idle_.find(endpoint);
   if (it == idle_.end()) return {};
   while (!it->second.empty()) {
@@ -275,18 +385,27 @@
     Error gone;
     const bool same = last.socket.remote_endpoint(gone) == address && !gone;
     const bool young = steady_now() - last.since < limits_.idle - kIdleMargin;
-    if (same && young && usable(last.socket)) return std::move(last.socket);
+    if (same && young && usable(last.socket)) return last;
   }
   return {};
 }
 
 void Upstream::keep(const Endpoint& endpoint, tcp::socket socket) {
   std::vector<Idle>& list = idle_[endpoint];
-  if (list.size() >= kMostPerHost || idle_count_ >= limits_.most_idle) return;
+  if (list.size() >= kMostPerHost || exchanges_.size() + idle_count_ >= limits_.most_open) return;
   list.push_back({std::move(socket), steady_now()});
   ++idle_count_;
 }
 
+// Makes room for a call: of all idle connections the one used least recently goes.
+void Upstream::close_oldest() {
+  const auto oldest = std::min_element(idle_.begin(), idle_.end(), [](const auto& a, const auto& b) {
+    return !a.second.empty() && (b.second.empty() || a.second.front().since < b.second.front().since);
+  });
+  oldest->second.erase(oldest->second.begin());
+  --idle_count_;
+}
+
 void Upstream::sweep() {
   const Time now = steady_now();
   for (auto& [endpoint, list] : idle_) {
--- a/relay/upstream.h
+++ b/relay/upstream.h
@@ -31,8 +31,9 @@
  public:
   struct Limits {
     Time connect_timeout = 0;
-    Time idle = 0;  // a host closes a connection that has been idle for so long
-    size_t most_idle = 256;
+    Time idle = 0;           // a host closes a connection that has been idle for so long
+    size_t most_open = 256;  // connections, with a call on them or idle
+    Time most_wait = 0;      // a longer told wait is held to this
   };
   // Asked right before a call's first byte: a call that may no longer start ends as kMoot.
   using MayStart = std::function<bool(const Call&)>;
@@ -56,9 +57,10 @@
     Time since = 0;
   };
 
-  std::optional<tcp::socket> take(const Endpoint& endpoint, const tcp::endpoint& address);
+  std::optional<Idle> take(const Endpoint& endpoint, const tcp::endpoint& address);
   void keep(const Endpoint& endpoint, tcp::socket socket);
   void start(std::shared_ptr<Exchange> exchange);
+  void close_oldest();
   void sweep();
 
   boost::asio::io_context& io_;
--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -6,6 +6,7 @@
 #include <limits>
 #include <map>
 #include <optional>
+#include <set>
 #include <stdexcept>
 
 namespace firspool {
@@ -179,6 +180,8 @@
   Member member;
   Lane* lane = nullptr;
   bool ready = false;
+  bool gone = false;
+  bool probe_out = false;
   int calls = 0;
   int conns = 0;
   Time last_used = 0;
@@ -220,6 +223,7 @@
       std::visit([this](const auto& e) { fold(e); }, event);
     }
     std::erase_if(key_rests_, [now](const auto& rest) { return rest.second.first <= now; });
+    forget_gone();
     wake_ = kNever;
     keep_watching();
     assess();
@@ -242,7 +246,11 @@
     }
     if (watching_) watch_pause_ = kSecond / 4;
     if (e.form == MembersChanged::Form::kFull) {
-      for (auto& [id, host] : hosts_) host.ready = false;
+      for (auto& [id, host] : hosts_) {
+        host.ready = false;
+        host.gone = true;
+        leaving_.insert(id);
+      }
     }
     if (!e.members) return;
     for (const Member& m : *e.members) {
@@ -250,6 +258,8 @@
       host.member = m;
       host.lane = &lane_of(m);
       host.ready = m.listing == Listing::kReady;
+      host.gone = m.listing == Listing::kGone;
+      if (host.gone) leaving_.insert(m.endpoint);
       by_destination_[m.destination][m.endpoint] = &host;
       Destination& d = destinations_[m.destination];
       d.kind = m.kind;
@@ -258,6 +268,22 @@
     }
   }
 
+  // What is gone and has nothing out is of no use any more. Guards against growth: ids are ever new.
+  void forget_gone() {
+    std::erase_if(leaving_, [this](const Endpoint& endpoint) {
+      Host& host = hosts_.at(endpoint);
+      if (!host.gone) return true;
+      if (host.calls > 0 || host.probe_out) return false;
+      by_destination_[host.member.destination].erase(endpoint);
+      if (const LaneKey key = host.lane->key; key.second != Endpoint{}) {
+        watched_.erase(key);
+        lanes_.erase(key);
+      }
+      hosts_.erase(endpoint);
+      return true;
+    });
+  }
+
   void fold(const Arrival& e) {
     if (e.message_class < 0 || e.message_class >= static_cast<int>(set_.classes.size())) {
       throw std::invalid_argument("unknown class of message " + std::to_string(e.id));
@@ -322,7 +348,7 @@
     const auto it = hosts_.find(e.endpoint);
     if (it == hosts_.end()) return;
     Lane& l = *it->second.lane;
-    l.probe_out = false;
+    l.probe_out = it->second.probe_out = false;
     l.probe_ok = e.ok;
   }
 
@@ -402,6 +428,7 @@
         return unserved(attempt, l, true, false);
       case Outcome::kCancelled:
       case Outcome::kMoot:
+      case Outcome::kSpoilt:  // spoilt answers come from any host alike: no sign of its health
         return;
     }
   }
@@ -655,7 +682,7 @@
 
   // Where probes are allowed one goes ahead of each scout: it costs no token, and no message that a hang
   // would end. Not trusted alone, as a probe may pass a hang by.
-  bool may_scout(Lane& l, const Host& host) {
+  bool may_scout(Lane& l, Host& host) {
     if (l.out_since == 0 || l.back_since != 0 || !set_.may_probe) return true;
     if (l.probe_ok) {
       l.probe_ok = false;
@@ -663,7 +690,7 @@
     }
     if (!l.probe_out) {
       out_->push_back(Probe{host.member.endpoint});
-      l.probe_out = true;
+      l.probe_out = host.probe_out = true;
       charge(l);
     }
     return false;
@@ -973,6 +1000,7 @@
   std::map<std::pair<uint64_t, int>, Attempt> attempts_;
   std::map<uint64_t, int> calls_;  // calls out, with their messages that have no outcome yet
   std::map<Endpoint, Host> hosts_;
+  std::set<Endpoint> leaving_;  // of these, those that are gone but may have calls out
   std::map<int, std::map<Endpoint, Host*>> by_destination_;
   std::map<int, Destination> destinations_;
   std::map<LaneKey, Lane> lanes_;
--- a/tests/parts_test.cpp
+++ b/tests/parts_test.cpp
@@ -63,17 +63,68 @@
     return parse_list(testing::list_json(revision, complete, std::move(members)), names);
   };
   Directory directory;
-  const auto first = directory.apply(list(5, true, {testing::member_json("s-1", "127.0.0.1:80", 7)}));
-  const auto next = directory.apply(list(6, false, {testing::member_json("s-2", "127.0.0.1:80", 7)}));
+  const auto first = directory.apply(list(5, true, {testing::member_json("s-1", "127.0.0.1:80", 7)}), 1);
+  const auto next = directory.apply(list(6, false, {testing::member_json("s-2", "127.0.0.1:80", 7)}), 2);
   ASSERT_TRUE(first && next);
   const Endpoint old = first->members->front().endpoint;
   EXPECT_NE(old, next->members->front().endpoint);
-  EXPECT_FALSE(directory.apply(list(4, true, {})));
+  EXPECT_FALSE(directory.apply(list(4, true, {}), 3));
   EXPECT_TRUE(directory.active(old));
-  directory.apply(list(7, true, {}));
+  directory.apply(list(7, true, {}), 4);
   EXPECT_FALSE(directory.active(old));
 }
 
+// An agent may be behind what another told: its list moves hosts on, and undoes nothing.
+TEST(Directory, AnOlderListUndoesNothing) {
+  const ListNames names{{"a"}, {"std"}};
+  const auto member = [](const std::string& id, const std::string& phase) {
+    return testing::member_json(id, "127.0.0.1:80", 7, phase);
+  };
+  const auto list = [&](int revision, bool complete, std::vector<nlohmann::json> members) {
+    return parse_list(testing::list_json(revision, complete, std::move(members)), names);
+  };
+  Directory directory;
+  const auto handle = [&](const std::string& id) {
+    for (const auto& [endpoint, host] : directory.hosts()) {
+      if (host.id == id) return endpoint;
+    }
+    return Endpoint{};
+  };
+  directory.apply(list(9, true, {member("s-1", "leaving"), member("s-2", "active"), member("s-3", "active")}),
+                  1);
+  directory.apply(list(10, false, {member("s-3", "left")}), 2);
+  directory.forget(handle("s-3"));
+  // s-2 came after this list was made; s-4 and the end of s-5 are news.
+  directory.apply(list(4, true, {member("s-1", "active"), member("s-3", "active"), member("s-4", "active")}),
+                  3);
+  EXPECT_FALSE(directory.active(handle("s-1")));
+  EXPECT_TRUE(directory.active(handle("s-2")));
+  EXPECT_EQ(handle("s-3"), Endpoint{});
+  EXPECT_TRUE(directory.active(handle("s-4")));
+  directory.apply(list(5, false, {member("s-4", "leaving")}), 4);
+  EXPECT_FALSE(directory.active(handle("s-4")));
+  EXPECT_EQ(directory.revision(), 10);
+}
+
+// Ids are ever new: what is gone must not stay.
+TEST(Directory, ForgetsWhatIsGone) {
+  const ListNames names{{"a"}, {"std"}};
+  Directory directory;
+  for (int i = 0; i < 1000; ++i) {
+    const std::string id = "s-" + std::to_string(i);
+    const Time now = Time{i} * 1'000'000;
+    for (const std::string phase : {"active", "left"}) {
+      const auto json = testing::list_json(i, false, {testing::member_json(id, "127.0.0.1:80", 7, phase)});
+      directory.apply(parse_list(json, names), now);
+    }
+    directory.forget(directory.hosts().begin()->first);
+    directory.prune(now);
+  }
+  EXPECT_TRUE(directory.hosts().empty());
+  EXPECT_LT(directory.gone().size(), 200u);
+  EXPECT_TRUE(directory.known(7));
+}
+
 class JournalTest : public ::testing::Test {
  protected:
   JournalTest() {
--- a/tests/peers.cpp
+++ b/tests/peers.cpp
@@ -97,6 +97,12 @@
   return out;
 }
 
+bool Socket::ended() {
+  if (!buffer_.empty() || fd_ < 0 || !readable(fd_, kDeadlineMs)) return false;
+  char byte = 0;
+  return ::read(fd_, &byte, 1) <= 0;
+}
+
 std::optional<Request> read_request(Socket& socket) {
   Request out;
   out.first = socket.line();
@@ -239,10 +245,11 @@
           {"settings", settings}};
 }
 
-Program::Program(nlohmann::json config) : config_(std::move(config)) {
+Program::Program(nlohmann::json config) {
   std::string pattern = std::filesystem::temp_directory_path() / "umberhoist-test-XXXXXX";
   folder_ = ::mkdtemp(pattern.data());
   std::filesystem::create_directory(state());
+  configure(config.dump());
 }
 
 Program::~Program() {
@@ -250,8 +257,12 @@
   std::filesystem::remove_all(folder_);
 }
 
+void Program::configure(const std::string& text) {
+  std::ofstream(folder_ / "config.new") << text;
+  std::filesystem::rename(folder_ / "config.new", folder_ / "config.json");
+}
+
 void Program::start(int descriptors) {
-  std::ofstream(folder_ / "config.json") << config_.dump();
   int pipe[2];
   ASSERT_EQ(::pipe2(pipe, O_CLOEXEC), 0);
   const std::string config = folder_ / "config.json";
--- a/tests/peers.h
+++ b/tests/peers.h
@@ -43,6 +43,7 @@
   bool send(const std::string& bytes) const;
   std::string line();                 // without its end; empty at the end of the stream
   std::string exactly(size_t count);  // shorter at the end of the stream
+  bool ended();                       // waits for the peer's close; false if bytes come, or nothing does
 
  private:
   bool fill();
@@ -66,6 +67,8 @@
   std::string address() const { return "127.0.0.1:" + std::to_string(port()); }
   Request next();  // the next call, on the connection that is open or on a new one
   void answer(const std::string& status, const std::string& headers = "");
+  void raw(const std::string& bytes) { ASSERT_TRUE(connection_.send(bytes)); }
+  bool left() { return connection_.ended(); }  // waits until the caller has closed
   void drop() { connection_.close(); }
   void reset() { connection_.reset(); }
   int connections() const { return connections_; }
@@ -116,6 +119,7 @@
   ~Program();
 
   void start(int descriptors = 0);
+  void configure(const std::string& text);  // replaces the file; it is read at a start or on SIGHUP
   void signal(int number);
   int wait();  // exit status; minus the signal that ended it
   void kill();
@@ -123,7 +127,6 @@
   Socket client() const { return Socket::connect(port_); }
 
  private:
-  nlohmann::json config_;
   std::filesystem::path folder_;
   pid_t child_ = -1;
   uint16_t port_ = 0;
--- a/tests/program_test.cpp
+++ b/tests/program_test.cpp
@@ -18,7 +18,11 @@
 struct Stage {
   Host host;
   Discovery discovery;
-  nlohmann::json config = config_json(discovery.address(), {member_json("s-1", host.address(), 7)});
+  // Destinations 8 and 99 have had a host, which wants nothing new.
+  nlohmann::json config =
+      config_json(discovery.address(),
+                  {member_json("s-1", host.address(), 7), member_json("s-0", host.address(), 99, "leaving"),
+                   member_json("s-9", host.address(), 8, "leaving")});
   Program program{config};
 
   std::string put(const std::string& id, const std::string& what, const std::string& body = "body") {
@@ -271,6 +275,157 @@
   EXPECT_EQ(id_of(s.host.next()), "00000000000000a2");
 }
 
+// ---- A new configuration ----
+
+TEST(Program, FollowsDiscoveryToItsNewAddress) {
+  Stage s;
+  Discovery next;
+  Host other;
+  s.program.start();
+  s.config["discovery"] = next.address();
+  s.program.configure(s.config.dump());
+  s.program.signal(SIGHUP);
+  // Whatever revision the new agent has.
+  next.tell(list_json(0, false, {member_json("s-2", other.address(), 99)}));
+  EXPECT_EQ(s.put("00000000000000a1", facts("keyed", 99)), "+OK");
+  EXPECT_EQ(id_of(other.next()), "00000000000000a1");
+  EXPECT_EQ(s.put("00000000000000a2", facts("unsafe")), "+OK");
+  s.host.next();
+  s.host.reset();
+  EXPECT_EQ(next.notice(), nlohmann::json({{"id", "00000000000000a2"}, {"state", "failed"}}));
+}
+
+// A notice that the old address did not answer goes to the new one.
+TEST(Program, SendsUnansweredNoticesToTheNewAddress) {
+  Stage s;
+  Discovery next;
+  s.discovery.refuse(1'000'000);
+  s.program.start();
+  EXPECT_EQ(s.put("00000000000000a1", facts("unsafe")), "+OK");
+  s.host.next();
+  s.host.reset();
+  while (s.discovery.refused() == 0) std::this_thread::yield();
+  s.config["discovery"] = next.address();
+  s.program.configure(s.config.dump());
+  for (int i = 0; i < 3; ++i) s.program.signal(SIGHUP);
+  EXPECT_EQ(next.notice(), nlohmann::json({{"id", "00000000000000a1"}, {"state", "failed"}}));
+}
+
+TEST(Program, KeepsTheOldConfigurationWhereTheNewOneIsNotValid) {
+  Stage s;
+  s.program.start();
+  s.config["discovery"] = "nowhere";
+  const std::string unreadable = s.config.dump();
+  for (const std::string& text : {std::string("{"), std::string(), unreadable}) {
+    s.program.configure(text);
+    s.program.signal(SIGHUP);
+    EXPECT_EQ(s.put("00000000000000a1", facts("safe")), "+OK");
+    EXPECT_EQ(id_of(s.host.next()), "00000000000000a1");
+    s.host.answer("200");
+    s.host.drop();
+  }
+  s.program.signal(SIGTERM);
+  s.program.signal(SIGHUP);
+  EXPECT_EQ(s.program.wait(), 0);
+}
+
+// ---- Bad clients ----
+
+const std::string kPing = "*1\r\n$4\r\nPING\r\n";
+
+TEST(Program, ClosesAClientThatSaysNothing) {
+  Stage s;
+  s.program.start();
+  Socket client = s.program.client();
+  EXPECT_TRUE(client.ended());
+}
+
+// Bytes that dribble in do not put the limit off.
+TEST(Program, EndsACommandThatIsNeverFinished) {
+  Stage s;
+  s.program.start();
+  Socket half = s.program.client();
+  half.send("*5\r\n$7\r\nMSG.P");
+  Socket dribbling = s.program.client();
+  dribbling.send(kPing);
+  EXPECT_EQ(dribbling.line(), "+PONG");
+  dribbling.send("*1\r\n$60000\r\n");
+  std::atomic<bool> over = false;
+  std::thread dribble([&] {
+    while (!over && dribbling.send("x")) std::this_thread::sleep_for(std::chrono::milliseconds(20));
+  });
+  EXPECT_TRUE(half.line().starts_with("-ERR"));
+  EXPECT_TRUE(half.ended());
+  EXPECT_TRUE(dribbling.line().starts_with("-ERR"));
+  over = true;
+  dribble.join();
+}
+
+// A close with bytes unread is a reset, and the error would be lost with it.
+TEST(Program, AnErrorReachesAClientThatGoesOnSending) {
+  Stage s;
+  s.program.start();
+  Socket client = s.program.client();
+  ASSERT_TRUE(client.send("*5\r\n$7\r\nMSG.PUT\r\n$60000000\r\n"));
+  const std::string part(1'000'000, 'x');
+  for (int i = 0; i < 60; ++i) ASSERT_TRUE(client.send(part)) << i;
+  EXPECT_TRUE(client.line().starts_with("-ERR"));
+  EXPECT_TRUE(client.ended());
+}
+
+// Clients keep their connections: those that ask no more must not shut out others.
+TEST(Program, MakesRoomForAnotherClient) {
+  Stage s;
+  s.config["limits"]["sockets"] = 64;
+  Program small(s.config);
+  small.start();
+  std::vector<Socket> kept;
+  for (int i = 0; i < 60; ++i) {
+    kept.push_back(small.client());
+    kept.back().send(kPing);
+    ASSERT_EQ(kept.back().line(), "+PONG") << i;
+  }
+}
+
+TEST(Program, TurnsAwayWhatNoHostCouldTake) {
+  Stage s;
+  s.program.start();
+  Socket client = s.program.client();
+  for (const std::string what : {"c=safe,d=1000,dest=5", "c=keyed,d=1000,dest=7", "c=safe,d=60001,dest=7",
+                                 "c=nosuch,d=1000,dest=7", "c=safe,d=1\r\n+OK,dest=7", "c=safe,d=,dest=7"}) {
+    client.send(put_bytes("00000000000000a1", what) + kPing);
+    EXPECT_TRUE(client.line().starts_with("-ERR")) << what;
+    EXPECT_EQ(client.line(), "+PONG") << what;  // nothing that the client sent made a line of its own
+  }
+}
+
+// Handed in twice before it is decided on: both get the one answer.
+TEST(Program, AnswersARepeatedIdAsTheFirst) {
+  Stage s;
+  s.config["limits"]["disk_mb"] = 0.02;
+  Program small(s.config);
+  small.start();
+  Socket clients[2] = {small.client(), small.client()};
+  small.signal(SIGSTOP);
+  for (Socket& client : clients) client.send(put_bytes("00000000000000a1", kFacts, std::string(8000, 'x')));
+  small.signal(SIGCONT);
+  for (Socket& client : clients) EXPECT_TRUE(client.line().starts_with("-BUSY"));
+}
+
+// A message's time runs from its last byte, also while it waits to be read: a notice for it would come late.
+TEST(Program, CountsTheTimeThatARequestWaited) {
+  Stage s;
+  s.program.start();
+  Socket client = s.program.client();
+  client.send(kPing);
+  EXPECT_EQ(client.line(), "+PONG");
+  s.program.signal(SIGSTOP);
+  client.send(put_bytes("00000000000000a1", facts("keyed", 99, 200)));
+  std::this_thread::sleep_for(std::chrono::milliseconds(400));
+  s.program.signal(SIGCONT);
+  EXPECT_TRUE(client.line().starts_with("-BUSY"));
+}
+
 // Out of descriptors an accept fails again at once: the relay waits a little and serves on.
 TEST(Program, SurvivesRunningOutOfDescriptors) {
   Stage s;
--- a/tests/upstream_test.cpp
+++ b/tests/upstream_test.cpp
@@ -49,7 +49,7 @@
   uint64_t last_ = 0;
   Host host_;
   Upstream upstream_{io_,
-                     {1'000'000, 10'000'000, 16},
+                     {1'000'000, 10'000'000, 16, 60'000'000},
                      {"x0", "x1"},
                      [this](const Call&) { return may_start_; },
                      [this](const AttemptEnded& end, bool began) {
@@ -121,5 +121,89 @@
   EXPECT_EQ(host_.connections(), 2);
 }
 
+// An answer that can never be whole tells only that the call may have run, whatever status it shows: taken
+// for a refusal it would let an unsafe message go twice. The host leaves the connection open, so it is
+// settled long before the time-out, and the connection is not used again.
+TEST_F(UpstreamTest, ASpoiltAnswerMayHaveRun) {
+  int made = 0;
+  for (const std::string& bytes :
+       {std::string("\x01\x02noise with no end"), std::string("HTTP/1.1 2x0 what\r\n\r\n"),
+        std::string("HTTP/1.1 503 x\r\nContent-Le"),
+        std::string("HTTP/1.1 429 x\r\nRetry-After: 1\r\nContent-Length: 9\r\n\r\nhi"),
+        std::string("HTTP/1.1 504 x\r\nContent-Length: -4\r\n\r\n"), std::string("HTTP/1.1 410 gone"),
+        "HTTP/1.1 500 x\r\nX: " + std::string(30'000, 'x'),
+        "HTTP/1.1 503 x\r\nContent-Length: 3000000000\r\n\r\n" + std::string(1000, 'x')}) {
+    const AttemptEnded end = call([&](Host& host) {
+      host.next();
+      host.raw(bytes);
+      EXPECT_TRUE(host.left());
+    });
+    EXPECT_EQ(end.outcome, Outcome::kSpoilt) << bytes.substr(0, 60);
+    EXPECT_FALSE(end.final);
+    EXPECT_EQ(host_.connections(), ++made);
+  }
+}
+
+TEST_F(UpstreamTest, AFirstLineWith200IsTrueWhateverFollows) {
+  for (const std::string& bytes :
+       {std::string("HTTP/1.1 200 OK\r\n\x01\x02noise"), std::string("HTTP/1.1 200 OK\r\nContent-Le"),
+        std::string("HTTP/1.1 200 OK\r\nContent-Length: x\r\n\r\n"),
+        "HTTP/1.1 200 OK\r\nX: " + std::string(30'000, 'x'),
+        "HTTP/1.1 200 OK\r\nContent-Length: 3000000000\r\n\r\n" + std::string(1000, 'x')}) {
+    const AttemptEnded end = call([&](Host& host) {
+      host.next();
+      host.raw(bytes);
+      EXPECT_TRUE(host.left());
+    });
+    EXPECT_EQ(end.outcome, Outcome::kOk) << bytes.substr(0, 60);
+    EXPECT_TRUE(end.final);
+  }
+}
+
+TEST_F(UpstreamTest, SkipsAnswersAheadOfTheAnswer) {
+  const AttemptEnded end = call([](Host& host) {
+    host.next();
+    host.raw("HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early\r\nX-Y: z\r\n\r\n");
+    host.answer("503");
+  });
+  EXPECT_EQ(end.outcome, Outcome::kFull);
+  EXPECT_EQ(call(answering("200")).outcome, Outcome::kOk);
+  EXPECT_EQ(host_.connections(), 1);
+}
+
+// The second copy would be taken for the next call's answer.
+TEST_F(UpstreamTest, DoesNotUseAConnectionAgainThatBroughtMoreThanItsAnswer) {
+  const std::string copy = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nhi";
+  for (const std::string& bytes : {copy + copy, copy + "noise"}) {
+    const int before = host_.connections();
+    EXPECT_EQ(call([&](Host& host) {
+                host.next();
+                host.raw(bytes);
+              }).outcome,
+              Outcome::kOk);
+    EXPECT_EQ(call(answering("500")).outcome, Outcome::kError);
+    EXPECT_EQ(host_.connections(), before + 2);
+    EXPECT_EQ(call(answering("200", "Connection: close\r\n")).outcome, Outcome::kOk);
+  }
+}
+
+// A field read as zero would pass for a limit or a load of zero.
+TEST_F(UpstreamTest, DropsAReportThatItCannotRead) {
+  for (const std::string report : {"x0=0.5,x1=?", "x0=nan,x1=25", "x0=-1,x1=25", "x0", "x0=0.5 x1=25"}) {
+    EXPECT_TRUE(call(answering("200", "X-Load-Report: " + report + "\r\n")).report.empty()) << report;
+  }
+  EXPECT_EQ(call(answering("200", "X-Load-Report: x0=0.5,x9=a,x1=2\r\n")).report,
+            (std::vector<float>{0.5, 2}));
+}
+
+TEST_F(UpstreamTest, HeedsNoWaitThatIsNoNumber) {
+  for (const std::string wait : {"nan", "-5", "soon", "1.5x", "inf"}) {
+    const AttemptEnded end = call(answering("429", "Retry-After: " + wait + "\r\n"));
+    EXPECT_EQ(end.outcome, Outcome::kFull);
+    EXPECT_EQ(end.wait, 0) << wait;
+  }
+  EXPECT_EQ(call(answering("429", "Retry-After: 1e30\r\n")).wait, 60'000'000);
+}
+
 }  // namespace
 }  // namespace firspool::relay
