Refused clients are told when to come again; notices are tried every 200 ms

Seen: every refusal carried 0 (give_up and shed in the module, -BUSY of the relay), so clients fell back to their own back-off, at random times against destinations that wait or are paced.

A notice post that got no answer held its queue for 1 s and paused up to 2 s, longer than the 300 ms that a notice may be late: 400 ms and 200 ms now. One wake time instead of a set: the module counts only the newest, all older ones made steps for nothing.

--- a/relay/discovery.cpp
+++ b/relay/discovery.cpp
@@ -14,7 +14,8 @@
 constexpr milliseconds kLongestPause{2000};
 constexpr milliseconds kSilence{5000};  // an empty line is due every 2 s
 constexpr size_t kMostOld = 2;
-constexpr milliseconds kPostTimeout{1000};
+constexpr milliseconds kPostTimeout{400};  // the agent is on this machine and answers at once
+constexpr milliseconds kLongestPostPause{200};
 constexpr size_t kMostLine = 8 * 1024 * 1024;
 constexpr size_t kMostNotices = 200;  // in one request: well under the largest body
 
@@ -271,7 +272,7 @@
   }
   out_ = 0;
   pause_.expires_after(back_off_);
-  back_off_ = longer(back_off_);
+  back_off_ = std::min(longer(back_off_), kLongestPostPause);
   pause_.async_wait([this](const Error& error) {
     if (!error) proceed();
   });
--- a/relay/relay.cpp
+++ b/relay/relay.cpp
@@ -14,6 +14,8 @@
 const std::string kRevision = "revision";
 const std::string kDestinations = "destinations";
 
+const std::string kBusy = "-BUSY 500";  // no room: some messages end within that time
+
 constexpr Time kMs = 1000;
 constexpr Time kServeOn = 500 * kMs;    // after SIGTERM: new connections still come for a while
 constexpr Time kLastCall = 3500 * kMs;  // SIGKILL follows 3.7 s after SIGTERM at the soonest
@@ -187,7 +189,7 @@
   if (settings.effect == Effect::kKeyed && handed.key.empty()) return answer("-ERR no idempotency key");
   if (handed.life > settings.give_up) return answer("-ERR d is too long");
   if (!directory_.known(handed.destination)) return answer("-ERR unknown destination");
-  if (held_.size() >= static_cast<size_t>(config_.settings.max_open)) return answer("-BUSY");
+  if (held_.size() >= static_cast<size_t>(config_.settings.max_open)) return answer(kBusy);
   const uint64_t number = ++last_number_;
   Arrival in;
   in.id = number;
@@ -329,7 +331,7 @@
       } else if (journal_.accepted(handed, wall_now() + held->second.due - steady_now())) {
         held->second.accepted = true;
       } else {
-        line->second = "-BUSY";  // no room on the disk
+        line->second = kBusy;  // no room on the disk
         happened(Withdrawn{item.number});
       }
       if (!held->second.accepted) {
@@ -382,7 +384,7 @@
   } else if (const auto* close = std::get_if<CloseIdle>(&action)) {
     upstream_.close_idle(close->endpoint);
   } else if (const auto* timer = std::get_if<SetTimer>(&action)) {
-    wakes_.insert(timer->at);
+    wake_ = timer->at;  // only the newest counts: it is set anew in each step that needs one
   } else if (const auto* memory = std::get_if<Remember>(&action)) {
     remember(memory->memory);
   } else if (const auto* log = std::get_if<Log>(&action)) {
@@ -404,15 +406,14 @@
 }
 
 void Relay::arm() {
-  if (wakes_.empty()) return;
-  wake_timer_.expires_at(at_time(*wakes_.begin()));
+  if (wake_ == armed_) return;
+  armed_ = wake_;
+  if (armed_ == 0) return;
+  wake_timer_.expires_at(at_time(armed_));
   wake_timer_.async_wait([this](const boost::system::error_code& error) {
     if (error) return;
-    while (!wakes_.empty() && *wakes_.begin() <= steady_now()) {
-      happened(TimerFired{static_cast<uint64_t>(*wakes_.begin())});
-      wakes_.erase(wakes_.begin());
-    }
-    arm();
+    armed_ = 0;
+    happened(TimerFired{static_cast<uint64_t>(std::exchange(wake_, 0))});
   });
 }
 
--- a/relay/relay.h
+++ b/relay/relay.h
@@ -7,7 +7,6 @@
 #include <functional>
 #include <map>
 #include <optional>
-#include <set>
 #include <string>
 #include <unordered_map>
 #include <vector>
@@ -80,7 +79,8 @@
   std::unordered_map<std::string, uint64_t> numbers_;
   std::map<std::pair<int, Endpoint>, Time> waits_;  // told waits: until when nothing goes there
   std::map<Endpoint, int> out_;                     // calls and probes out
-  std::set<Time> wakes_;
+  Time wake_ = 0;                                   // when the module wants to be asked again; 0: never
+  Time armed_ = 0;                                  // and for when the timer is set
   boost::asio::steady_timer wake_timer_;
   boost::asio::steady_timer stop_timer_;
   Time stopping_since_ = 0;  // 0: not stopping
--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -64,6 +64,9 @@
 constexpr Time kWindowMargin = 50 * kMs;  // a call is under way for a while before its host looks at its key
 constexpr double kShedAbove = 0.9;        // part of max_open above which the least worth is given back
 
+constexpr Time kRetryLeast = 300 * kMs;  // what a refused client is told to wait
+constexpr Time kRetryMost = 1500 * kMs;
+
 // Ordering and choice of endpoint.
 constexpr double kSecondsPerPrice = 5;  // seconds of latency that a price of 1 a call is held against
 
@@ -730,8 +733,22 @@
 
   Time last_moment(const Message& m) const { return m.in.due - 2 * set_.tick; }
 
+  // When a client's retry has a chance again: after a told wait, an outage's next look, or a turn at the
+  // pace. At random, so that what was turned away together does not come back together.
+  Time retry_after(const Message& m) {
+    Time soonest = kRetryMost;
+    for (const auto& [endpoint, host] : by_destination_[m.in.destination]) {
+      const Lane& l = *host->lane;
+      if (!host->ready || (l.out_since != 0 && l.back_since == 0)) continue;
+      const Time turn = l.pace > 0 ? micros(1 / l.pace) : 0;
+      soonest = std::min(soonest, std::max(l.wait_until - now_, turn));
+    }
+    const Time after = std::clamp(soonest, kRetryLeast, kRetryMost) + random_.between(0, kPauseMost);
+    return set_.max_retry_after > 0 ? std::min(after, set_.max_retry_after) : after;
+  }
+
   void give_up(uint64_t id, const Message& m) {
-    out_->push_back(refusable(m) ? Action{Refuse{id, 0}} : Action{Fail{id}});
+    out_->push_back(refusable(m) ? Action{Refuse{id, retry_after(m)}} : Action{Fail{id}});
   }
 
   void settle() {
@@ -761,7 +778,7 @@
     std::sort(least.begin(), least.end());
     for (const auto& [worth, id] : least) {
       if (messages_.size() <= room) break;
-      out_->push_back(Refuse{id, 0});
+      out_->push_back(Refuse{id, retry_after(messages_.at(id))});
       end(id);
     }
   }
--- a/tests/policy_test.cpp
+++ b/tests/policy_test.cpp
@@ -693,5 +693,53 @@
                  ended(Send{98, {1, 80}, 0}, 0, Outcome::kOk), ProbeEnded{{9, 9}, true, 0, {}}});
 }
 
+// ---- Hosts that go ----
+
+// It is forgotten only once nothing is out on it: a late outcome still ends its message.
+TEST(Leaving, ALateOutcomeOfAGoneHostEndsItsMessage) {
+  Relay relay(plain_settings());
+  const auto sends = all_of<Send>(relay.step(0, {members({member(1)}), relay.message(7, 0)}));
+  ASSERT_EQ(sends.size(), 1u);
+  relay.step(10'000, {members({member(1, 1, 0, Listing::kGone), member(2)}, MembersChanged::Form::kDelta)});
+  relay.step(20'000, {members({member(1, 1, 0, Listing::kGone)}, MembersChanged::Form::kDelta)});
+  relay.step(100'000, {ended(sends[0], 0, Outcome::kOk)});
+  EXPECT_EQ(relay.owed(), 0u);
+  const auto next = all_of<Send>(relay.step(200'000, {relay.message(8, 200'000)}));
+  ASSERT_EQ(next.size(), 1u);
+  EXPECT_EQ(next[0].endpoint, (Endpoint{2, 80}));
+}
+
+// ---- Spoilt answers ----
+
+// They come from any host alike: they end hope for an unsafe message, and say nothing of the host.
+TEST(Spoilt, MayHaveRunAndIsNoSignOfAnOutage) {
+  Relay relay(plain_settings());
+  relay.step(0, {members({member(1)})});
+  Time now = 0;
+  for (uint64_t id = 1; id <= 20; ++id) {
+    const auto sends = all_of<Send>(relay.step(now, {relay.message(id, now, 1)}));
+    ASSERT_EQ(sends.size(), 1u) << id;
+    const auto after = relay.step(now + 100'000, {ended(sends[0], 0, Outcome::kSpoilt)});
+    EXPECT_EQ(all_of<Fail>(after).size(), 1u);
+    EXPECT_TRUE(all_of<Log>(after).empty());
+    now += kSecond;
+  }
+}
+
+// ---- Refusals ----
+
+TEST(Refusals, SayWhenToComeAgain) {
+  Settings s = plain_settings();
+  s.max_retry_after = kSecond;
+  Relay relay(s);
+  const auto sends = all_of<Send>(relay.step(0, {members({member(1)}), relay.message(7, 0)}));
+  ASSERT_EQ(sends.size(), 1u);
+  relay.step(50'000, {ended(sends[0], 0, Outcome::kFull, 50'000, 30 * kSecond)});
+  const auto refused = all_of<Refuse>(relay.idle(100'000, 21 * kSecond));
+  ASSERT_EQ(refused.size(), 1u);
+  EXPECT_GT(refused[0].retry_after, 0);
+  EXPECT_LE(refused[0].retry_after, kSecond);
+}
+
 }  // namespace
 }  // namespace firspool::testing
