A crowd at the limit: the longest quiet client makes room, dead requests are dropped

Cause: new connections at 120 to 240 a second, each quiet for under 2 s, so none could be evicted (Clients::make_room); others waited in the backlog longer than their clients' 400 ms, and what was then accepted were requests already given up. Now, where none is quiet for 2 s, the longest quiet goes; a request that waited 400 ms and whose client hung up is dropped.

--- a/relay/clients.cpp
+++ b/relay/clients.cpp
@@ -21,12 +21,14 @@
 constexpr Time kMostSilent = 5 * kSecond / 2;     // with nothing ever sent
 constexpr Time kMostCommand = 2 * kSecond;        // from a command's first byte to its last
 constexpr Time kLeastCommand = 3 * kSecond / 10;  // the first one gets what is left of the silence, but this
+constexpr Time kClientWaits = 2 * kSecond / 5;    // then it gives its request up
 constexpr Time kMostWrite = 2 * kSecond;          // for an answer that the client does not read
 constexpr Time kMostDrain = 5 * kSecond;  // after an error, so that a client still sending gets to read it
 constexpr size_t kMostDrained = 96 * 1024 * 1024;  // bytes, and so many bytes of it
 constexpr size_t kDrainAtOnce = 256 * 1024;
 // For another connection to be let in, at the limit.
 constexpr Time kIdleLeast = 2 * kSecond;         // between requests
+constexpr Time kPressedLeast = kSecond / 20;     // the same, where every other was of use just now
 constexpr Time kSilentLeast = 3 * kSecond / 10;  // with nothing ever sent
 constexpr Time kDrainLeast = kSecond;
 constexpr size_t kMostName = 128;                   // ids, keys and class names
@@ -139,12 +141,18 @@
   }
 
   // How long it could have been closed for another's sake; negative: not now. Never with a request open or
-  // begun.
-  Time spare(Time now) const {
+  // begun. `pressed`: nothing else is left that could go.
+  Time spare(Time now, bool pressed) const {
     const Time age = now - since_;
     if (state_ == State::kDraining) return age - kDrainLeast;
-    if (state_ != State::kReading || began_ != 0 || !quiet()) return -1;
-    return age - (spoke_ ? kIdleLeast : kSilentLeast);
+    if (state_ != State::kReading || began_ != 0) return -1;
+    return age - (!spoke_ ? kSilentLeast : pressed ? kPressedLeast : kIdleLeast);
+  }
+
+  // Nothing has come that was not read.
+  bool quiet() const {
+    boost::system::error_code error;
+    return socket_.available(error) == 0 || error;
   }
 
   void close() {
@@ -158,11 +166,6 @@
  private:
   enum class State { kReading, kServing, kWriting, kDraining, kClosed };
 
-  bool quiet() const {
-    boost::system::error_code error;
-    return socket_.available(error) == 0 || error;
-  }
-
   void readable(const boost::system::error_code& error) {
     if (owner_ == nullptr || state_ != State::kReading) return;
     if (error && (error != boost::asio::error::operation_aborted || quiet())) return close();
@@ -170,7 +173,9 @@
     const size_t count = socket_.read_some(boost::asio::buffer(owner_->bytes_), failed);
     if (failed == boost::asio::error::would_block) return proceed();
     if (count == 0) return close();
-    came_ = steady_now() - waited();
+    const Time waiting = waited();
+    if (waiting >= kClientWaits && hung_up()) return close();
+    came_ = steady_now() - waiting;
     parser_.feed({owner_->bytes_.data(), count});
     proceed();
   }
@@ -184,6 +189,13 @@
     return Time{1000} * info.tcpi_last_data_recv;
   }
 
+  // The client closed behind its request: it has given up, and handed the message in elsewhere under a new
+  // id.
+  bool hung_up() {
+    char byte = 0;
+    return ::recv(socket_.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT) == 0;
+  }
+
   void handle(const std::vector<std::string>& words) {
     spoke_ = true;
     state_ = State::kServing;
@@ -304,12 +316,15 @@
 bool Clients::make_room() {
   const Time now = steady_now();
   std::shared_ptr<Session> best;
-  Time most = 0;
-  for (const auto& session : sessions_) {
-    const Time spare = session->spare(now);
-    if (spare < most) continue;
-    most = spare;
-    best = session;
+  for (const bool pressed : {false, true}) {
+    Time most = -1;
+    for (const auto& session : sessions_) {
+      const Time spare = session->spare(now, pressed);
+      if (spare <= most || !session->quiet()) continue;
+      most = spare;
+      best = session;
+    }
+    if (best) break;
   }
   if (!best) return false;  // the next look is the sweep's
   accepting_ = true;        // closing it asks for the next accept: that is the caller's
--- a/relay/relay.cpp
+++ b/relay/relay.cpp
@@ -20,8 +20,9 @@
 constexpr Time kServeOn = 500 * kMs;    // after SIGTERM: new connections still come for a while
 constexpr Time kLastCall = 3500 * kMs;  // SIGKILL follows 3.7 s after SIGTERM at the soonest
 constexpr Time kStopPoll = 50 * kMs;
-constexpr Time kFirstWord = 300 * kMs;  // discovery answers at once, unless it is down
-constexpr Time kTransit = 2 * kMs;      // a message's time runs from its client's sending
+constexpr Time kFirstWord = 300 * kMs;   // discovery answers at once, unless it is down
+constexpr Time kClockSlack = 100 * kMs;  // clients round what they measure
+constexpr Time kTransit = 2 * kMs;       // a message's time runs from its client's sending
 
 // The descriptors: those of the process itself, clients, and calls with their idle connections. Calls have
 // what they need, then clients, who need a third for requests, half; idle connections what is left.
@@ -187,7 +188,7 @@
   if (message_class < 0) return answer("-ERR unknown class");
   const ClassSettings& settings = config_.settings.classes[message_class];
   if (settings.effect == Effect::kKeyed && handed.key.empty()) return answer("-ERR no idempotency key");
-  if (handed.life > settings.give_up) return answer("-ERR d is too long");
+  if (handed.life > settings.give_up + kClockSlack) return answer("-ERR d is too long");
   if (!directory_.known(handed.destination)) return answer("-ERR unknown destination");
   if (held_.size() >= static_cast<size_t>(config_.settings.max_open)) return answer(kBusy);
   const uint64_t number = ++last_number_;
