--- a/relay/clients.cpp
+++ b/relay/clients.cpp
@@ -7,6 +7,8 @@
 #include <boost/asio/write.hpp>
 #include <cctype>
 #include <charconv>
+#include <limits>
+#include <numeric>
 #include <stdexcept>
 
 #include "resp.h"
@@ -31,6 +33,10 @@
 constexpr Time kPressedLeast = kSecond / 20;     // the same, where every other was of use just now
 constexpr Time kSilentLeast = 3 * kSecond / 10;  // with nothing ever sent
 constexpr Time kDrainLeast = kSecond;
+// Clients may hold a third of the descriptors for requests, two thirds of the room here. Connections that
+// stand idle are kept to a quarter of the room, so that they never are what holds the next one up.
+constexpr size_t kIdleShare = 4;
+constexpr Time kIdleShortest = kSecond / 20;        // a client that goes on at once finds its connection open
 constexpr size_t kMostName = 128;                   // ids, keys and class names
 constexpr Time kMostLife = Time{24} * 3600 * 1000;  // milliseconds
 
@@ -127,6 +133,11 @@
     socket_.close(ignored);
   }
 
+  // Between requests for longer than `most`, with nothing unread. One that never spoke has its own limit.
+  bool idle_for(Time most, Time now) const {
+    return spoke_ && state_ == State::kReading && began_ == 0 && now - since_ >= most && quiet();
+  }
+
   // Ends what takes too long. Not by the time since the last byte: dribbled ones would put it off for ever.
   void check(Time now) {
     const Time began = state_ == State::kReading && began_ != 0 ? now - began_ : 0;
@@ -306,6 +317,7 @@
     socket.non_blocking(true, ignored);
     auto session = std::make_shared<Session>(*this, std::move(socket));
     session->place = sessions_.insert(sessions_.end(), session);
+    ++came_.front();
     session->proceed();
     accept();
   });
@@ -333,12 +345,25 @@
   return true;
 }
 
+// How long a connection may stand idle. By Little's law as many are idle as come in that time: where clients
+// open one for each message and keep it, 121 a second that are kept for 2 s would take 242 descriptors, and
+// clients that may not hold so many could not reach this relay at all. Where few come they stay.
+Time Clients::most_idle() const {
+  const size_t came = std::accumulate(came_.begin(), came_.end(), size_t{0});
+  if (came == 0) return std::numeric_limits<Time>::max();
+  const Time window = kSweep / std::chrono::microseconds(1) * static_cast<Time>(came_.size());
+  return std::max(kIdleShortest, window * static_cast<Time>(most_ / kIdleShare) / static_cast<Time>(came));
+}
+
 void Clients::sweep() {
   const Time now = steady_now();
+  const Time most_idle = this->most_idle();
   for (auto next = sessions_.begin(); next != sessions_.end();) {
     const auto session = *next++;
-    session->check(now);
+    session->idle_for(most_idle, now) ? session->close() : session->check(now);
   }
+  std::rotate(came_.begin(), came_.end() - 1, came_.end());
+  came_.front() = 0;
   accept();
   sweeper_.expires_after(kSweep);
   sweeper_.async_wait([this](const boost::system::error_code& error) {
--- a/relay/clients.h
+++ b/relay/clients.h
@@ -36,6 +36,7 @@
   void accept();
   bool make_room();
   void sweep();
+  Time most_idle() const;
   void forget(std::list<std::shared_ptr<Session>>::iterator place);
 
   boost::asio::io_context& io_;
@@ -46,6 +47,7 @@
   Put put_;
   bool accepting_ = false;
   bool finishing_ = false;
+  std::array<size_t, 10> came_{};      // connections in each of the last sweeps' spans, the present one first
   std::array<char, 64 * 1024> bytes_;  // what was read last, of any connection
   std::list<std::shared_ptr<Session>> sessions_;
 };
--- a/tests/program_test.cpp
+++ b/tests/program_test.cpp
@@ -390,6 +390,26 @@
   }
 }
 
+// Clients that may hold so many connections and no more wait for one to be closed before they can hand the
+// next message in: where they open one for each message, those that are done must go before the limit is
+// reached.
+TEST(Program, ACrowdThatAsksOnceAndKeepsItsConnectionsIsLetGo) {
+  Stage s;
+  s.config["limits"]["sockets"] = 384;  // clients hold 128 at most for requests
+  Program small(s.config);
+  small.start();
+  Socket reused = small.client();
+  std::vector<Socket> kept;
+  for (int i = 0; i < 128; ++i) {
+    kept.push_back(small.client());
+    kept.back().send(kPing);
+    ASSERT_EQ(kept.back().line(), "+PONG") << i;
+    reused.send(kPing);
+    ASSERT_EQ(reused.line(), "+PONG") << i;
+  }
+  EXPECT_TRUE(kept.front().ended());
+}
+
 TEST(Program, TurnsAwayWhatNoHostCouldTake) {
   Stage s;
   s.program.start();
