--- /dev/null
+++ b/rehearsal/plan.cpp
@@ -0,0 +1,280 @@
+#include "rehearsal/plan.h"
+
+#include <algorithm>
+#include <cmath>
+#include <numeric>
+
+#include "rehearsal/random.h"
+
+namespace umberhoist::rehearsal {
+namespace {
+
+enum Purpose : uint64_t { kPartners = 1, kArrivals, kEvents };
+
+Time micro(double seconds) { return static_cast<Time>(std::llround(seconds * 1e6)); }
+
+// Kinds by their shares, the leaning ones towards the head of the order of sizes.
+std::vector<int> draw_kinds(const Scenario& s, Random& random) {
+  double shares = 0;
+  for (const KindSpec& kind : s.kinds) shares += kind.share;
+  std::vector<std::pair<double, int>> order;
+  int left = s.partners;
+  for (size_t i = 0; i < s.kinds.size(); ++i) {
+    const bool last = i + 1 == s.kinds.size();
+    const int count =
+        last ? left
+             : std::min(left,
+                        std::max(1, static_cast<int>(std::lround(s.partners * s.kinds[i].share / shares))));
+    left -= count;
+    for (int k = 0; k < count; ++k) order.emplace_back(random.unit() - s.kinds[i].lean, static_cast<int>(i));
+  }
+  std::sort(order.begin(), order.end());
+  std::vector<int> out;
+  for (const auto& [place, kind] : order) out.push_back(kind);
+  return out;
+}
+
+bool goes_to(const Scenario& s, const ClassSpec& c, int kind) {
+  return c.kinds.empty() || std::find(c.kinds.begin(), c.kinds.end(), s.kinds[kind].name) != c.kinds.end();
+}
+
+// For each class, the partners that it goes to, as a running sum of their shares.
+std::vector<std::vector<double>> class_weights(const Scenario& s, const std::vector<PartnerPlan>& partners) {
+  std::vector<std::vector<double>> out;
+  for (const ClassSpec& c : s.classes) {
+    std::vector<double> sums;
+    double sum = 0;
+    for (const PartnerPlan& partner : partners) {
+      if (goes_to(s, c, partner.kind)) sum += std::pow(partner.number + 1, -s.zipf);
+      sums.push_back(sum);
+    }
+    if (sum <= 0) {
+      throw ScenarioError("class " + c.name +
+                          " goes to no partner: expected more partners, or a kind that has some");
+    }
+    for (double& value : sums) value /= sum;
+    out.push_back(std::move(sums));
+  }
+  return out;
+}
+
+void size_partners(const Scenario& s, std::vector<PartnerPlan>& partners, Random& random) {
+  const auto weights = class_weights(s, partners);
+  double shares = 0;
+  for (const ClassSpec& c : s.classes) shares += c.share;
+  for (size_t c = 0; c < s.classes.size(); ++c) {
+    for (size_t p = 0; p < partners.size(); ++p) {
+      const double own = weights[c][p] - (p == 0 ? 0 : weights[c][p - 1]);
+      partners[p].traffic += own * s.classes[c].share / shares;
+    }
+  }
+  for (PartnerPlan& p : partners) {
+    const KindSpec& kind = s.kinds[p.kind];
+    const double full = p.traffic * s.load.rate * s.load.full;  // calls a second at full load
+    const double busy = std::min(1.0, p.traffic * static_cast<double>(partners.size()) / 2);
+    p.endpoints =
+        static_cast<int>(std::lround(kind.endpoints.low + (kind.endpoints.high - kind.endpoints.low) *
+                                                              std::min(busy, random.unit() + busy / 2)));
+    p.endpoints = std::max(1, p.endpoints);
+    p.service = static_cast<Time>(random.between(kind.service_ms.low, kind.service_ms.high) * 1e3);
+    p.cv = kind.cv;
+    const double wanted = std::max(kind.least_rate, full * kind.spare);
+    p.places =
+        std::max(p.endpoints, static_cast<int>(std::ceil(wanted * static_cast<double>(p.service) / 1e6)));
+    p.capacity = p.places / (static_cast<double>(p.service) / 1e6);
+    p.limit = kind.limit;
+    if (p.limit != Limit::kNone) {
+      p.limit_rate = std::min(p.capacity, std::max(kind.least_rate, full * kind.headroom));
+    }
+    p.span = micro(random.between(kind.span_s.low, kind.span_s.high));
+    p.told_rate = p.limit == Limit::kNone ? p.capacity : p.limit_rate;
+    p.queue = micro(kind.queue_s);
+    p.seed = random.bits();
+  }
+}
+
+void draw_arrivals(const Scenario& s, Plan& plan, Random& random) {
+  const auto weights = class_weights(s, plan.partners);
+  double shares = 0;
+  for (const ClassSpec& c : s.classes) shares += c.share;
+  const auto rate_at = [&](double t) {
+    double rate = s.load.rate * (1 + s.load.swing * std::sin(2 * M_PI * t / s.load.period_s));
+    for (const BurstSpec& burst : s.load.bursts) {
+      if (t >= burst.at_s && t < burst.at_s + burst.for_s) rate *= burst.factor;
+    }
+    return rate;
+  };
+  double most = s.load.rate * (1 + s.load.swing);
+  for (const BurstSpec& burst : s.load.bursts) most *= std::max(1.0, burst.factor);
+  const auto add = [&](double t, int partner) {
+    double pick = random.unit() * shares;
+    size_t c = 0;
+    while (c + 1 < s.classes.size() && (pick -= s.classes[c].share) >= 0) ++c;
+    ArrivalPlan out;
+    out.at = micro(t);
+    out.message_class = static_cast<uint16_t>(c);
+    if (partner >= 0 && goes_to(s, s.classes[c], plan.partners[partner].kind)) {
+      out.partner = static_cast<uint16_t>(partner);
+    } else {
+      const auto& sums = weights[c];
+      out.partner = static_cast<uint16_t>(std::min<size_t>(
+          sums.size() - 1, std::upper_bound(sums.begin(), sums.end(), random.unit()) - sums.begin()));
+    }
+    out.body = static_cast<uint32_t>(random.between(s.load.body_bytes.low, s.load.body_bytes.high + 0.999));
+    plan.arrivals.push_back(out);
+  };
+  // A clump holds what one partner takes in its span; clumps come as often as their share of all asks for.
+  const double alone = 1 - s.load.clump_share;
+  for (double t = random.exponential(1 / most); t < s.seconds; t += random.exponential(1 / most)) {
+    if (random.chance(rate_at(t) / most * alone)) add(t, -1);
+  }
+  if (s.load.clump_share > 0) {
+    double t = 0;
+    while (true) {
+      const size_t partner = random.below(plan.partners.size());
+      const double takes =
+          plan.partners[partner].told_rate * random.between(s.load.clump_s.low, s.load.clump_s.high);
+      const auto count = std::max<size_t>(2, static_cast<size_t>(takes));
+      t += random.exponential(static_cast<double>(count) / (s.load.rate * s.load.clump_share));
+      if (t >= s.seconds) break;
+      for (size_t i = 0; i < count; ++i) {
+        const double at = t + 0.2 * random.unit();
+        if (at < s.seconds) add(at, static_cast<int>(partner));
+      }
+    }
+  }
+  std::stable_sort(plan.arrivals.begin(), plan.arrivals.end(),
+                   [](const ArrivalPlan& a, const ArrivalPlan& b) { return a.at < b.at; });
+  for (size_t i = 0; i < plan.arrivals.size(); ++i) plan.arrivals[i].message = static_cast<uint32_t>(i + 1);
+}
+
+std::vector<int> targets_of(const Scenario& s, const Plan& plan, const EventSpec& event, Random& random) {
+  std::vector<int> all(plan.partners.size());
+  std::iota(all.begin(), all.end(), 0);
+  if (!event.partner.empty()) {
+    for (const PartnerPlan& p : plan.partners) {
+      if (p.name == event.partner) return {p.number};
+    }
+    throw ScenarioError(event.where + ": [event] partner: expected one of " + plan.partners.front().name +
+                        " to " + plan.partners.back().name);
+  }
+  if (!event.kind.empty()) {
+    std::erase_if(all, [&](int p) { return s.kinds[plan.partners[p].kind].name != event.kind; });
+  }
+  if (event.largest > 0) {
+    std::stable_sort(all.begin(), all.end(),
+                     [&](int a, int b) { return plan.partners[a].traffic > plan.partners[b].traffic; });
+    all.resize(std::min<size_t>(all.size(), static_cast<size_t>(event.largest)));
+  }
+  if (event.share > 0) {  // drawn until they have that share; the last one may not go far over it
+    for (size_t i = all.size(); i > 1; --i) std::swap(all[i - 1], all[random.below(i)]);
+    std::vector<int> some;
+    double sum = 0;
+    for (const int p : all) {
+      if (!some.empty() && sum + plan.partners[p].traffic > event.share) continue;
+      some.push_back(p);
+      sum += plan.partners[p].traffic;
+      if (sum >= event.share) break;
+    }
+    all = std::move(some);
+  }
+  std::sort(all.begin(), all.end());
+  return all;
+}
+
+void resolve_events(const Scenario& s, Plan& plan, Random& random) {
+  const auto add = [&](const EventSpec& event, Action action, Time at, int relay) {
+    EventPlan out;
+    out.at = at;
+    out.lasts = micro(event.for_s);
+    out.action = action;
+    if (action <= Action::kSpoil) out.partners = targets_of(s, plan, event, random);
+    out.relay = relay;
+    out.amount = event.amount;
+    out.wait_told = event.wait_told;
+    out.same_address = event.same_address;
+    out.seed = random.bits();
+    out.text = action_name(action);
+    if (!event.kind.empty()) out.text += " " + event.kind;
+    if (relay >= 0) out.text += " relay " + std::to_string(relay);
+    if (!out.partners.empty()) out.text += " (" + std::to_string(out.partners.size()) + " partners)";
+    plan.events.push_back(std::move(out));
+  };
+  for (const EventSpec& event : s.events) {
+    const Time at = micro(event.at_s);
+    if (event.action == Action::kRolling) {  // one every so often, each after the one before is surely back
+      const Time gap = event.for_s > 0 ? micro(event.for_s) / s.relays : 6 * kSecond;
+      for (int i = 0; i < s.relays; ++i) add(event, Action::kTerminate, at + i * gap, i);
+      continue;
+    }
+    const bool of_relay = event.action == Action::kKill || event.action == Action::kTerminate ||
+                          event.action == Action::kMove || event.action == Action::kLose ||
+                          event.action == Action::kCrowd;
+    const int drawn = static_cast<int>(random.below(static_cast<size_t>(s.relays)));
+    add(event, event.action, at, of_relay ? (event.relay >= 0 ? event.relay : drawn) : -1);
+  }
+  std::stable_sort(plan.events.begin(), plan.events.end(),
+                   [](const EventPlan& a, const EventPlan& b) { return a.at < b.at; });
+}
+
+class Digest {
+ public:
+  Digest& add(uint64_t value) {
+    for (int i = 0; i < 8; ++i) hash_ = (hash_ ^ ((value >> (8 * i)) & 255)) * 0x100000001b3;
+    return *this;
+  }
+  uint64_t value() const { return hash_; }
+
+ private:
+  uint64_t hash_ = 0xcbf29ce484222325;
+};
+
+uint64_t digest_of(const Plan& plan) {
+  Digest out;
+  for (const PartnerPlan& p : plan.partners) {
+    out.add(static_cast<uint64_t>(p.kind)).add(static_cast<uint64_t>(p.endpoints));
+    out.add(static_cast<uint64_t>(p.service)).add(static_cast<uint64_t>(p.places)).add(p.seed);
+  }
+  for (const ArrivalPlan& a : plan.arrivals) {
+    out.add(static_cast<uint64_t>(a.at)).add(a.message_class).add(a.partner).add(a.body);
+  }
+  for (const EventPlan& e : plan.events) {
+    out.add(static_cast<uint64_t>(e.at))
+        .add(static_cast<uint64_t>(e.action))
+        .add(static_cast<uint64_t>(e.relay));
+    for (const int p : e.partners) out.add(static_cast<uint64_t>(p));
+  }
+  return out.value();
+}
+
+}  // namespace
+
+Plan make_plan(const Scenario& s, uint64_t seed) {
+  Random root(seed);
+  Random partners = root.fork(kPartners);
+  Random arrivals = root.fork(kArrivals);
+  Random events = root.fork(kEvents);
+  Plan plan;
+  const std::vector<int> kinds = draw_kinds(s, partners);
+  for (size_t i = 0; i < kinds.size(); ++i) {
+    PartnerPlan p;
+    p.number = static_cast<int>(i);
+    p.name = "p" + std::to_string(i);
+    p.kind = kinds[i];
+    plan.partners.push_back(std::move(p));
+  }
+  size_partners(s, plan.partners, partners);
+  draw_arrivals(s, plan, arrivals);
+  resolve_events(s, plan, events);
+  double busy = 0;
+  for (const PartnerPlan& p : plan.partners) {
+    busy += p.traffic * s.load.rate * s.load.full * static_cast<double>(p.service) / 1e6;
+  }
+  plan.slots = std::max(s.least_slots, static_cast<int>(std::ceil(busy / s.relays * s.slots_room)));
+  plan.max_open =
+      std::max(s.least_open, static_cast<int>(std::ceil(s.load.rate * s.load.full / s.relays * s.hold_s)));
+  plan.digest = digest_of(plan);
+  return plan;
+}
+
+}  // namespace umberhoist::rehearsal
--- /dev/null
+++ b/rehearsal/relay_config.cpp
@@ -0,0 +1,74 @@
+#include "rehearsal/relay_config.h"
+
+namespace umberhoist::rehearsal {
+
+using nlohmann::json;
+
+std::string zone_name(int zone) { return std::string(1, static_cast<char>('a' + zone)); }
+
+json relay_config(const Scenario& s, const Plan& plan, int relay, uint64_t seed, const std::string& listen,
+                  const std::string& discovery, const std::string& known) {
+  json zones = json::array(), kinds = json::array(), apart = json::array(), batch = json::array();
+  for (int i = 0; i < s.zones; ++i) zones.push_back(zone_name(i));
+  for (const KindSpec& kind : s.kinds) {
+    kinds.push_back(kind.name);
+    apart.push_back(false);
+    batch.push_back(1);
+  }
+  json classes = json::array();
+  for (const ClassSpec& c : s.classes) {
+    classes.push_back({{"name", c.name},
+                       {"semantics", c.effect == Effect::kSafe    ? "safe"
+                                     : c.effect == Effect::kKeyed ? "keyed"
+                                                                  : "unsafe"},
+                       {"key_scope", "all"},
+                       {"key_ttl_s", c.key_window_s},
+                       {"target_s", c.aim_s},
+                       {"give_up_s", c.give_up_s},
+                       {"worth", c.worth},
+                       {"late_worth", c.late_worth}});
+  }
+  const auto seconds = [](Time t) { return static_cast<double>(t) / 1e6; };
+  const json settings = {
+      {"me", relay},
+      {"siblings", s.relays},
+      {"zone", relay % s.zones},
+      {"azs", zones},
+      {"kinds", kinds},
+      {"categories", classes},
+      {"family_info",
+       {{"calls_out", plan.slots}, {"kind_apart", apart}, {"kind_batch", batch}, {"late", "halves"}}},
+      {"bounds",
+       {{"open_cap", plan.max_open},
+        {"max_attempts", s.max_attempts},
+        {"streams_per_conn", 1},
+        {"may_probe", s.probes},
+        {"peers", false},
+        {"cancel", true},
+        {"conn_idle_s", s.idle_s},
+        {"connect_timeout_s", s.connect_timeout_s},
+        {"max_retry_after_s", 2.0},
+        {"retry_after", true}}},
+      {"obligations",
+       {{"answer_slack_s", 0.1},
+        {"stop_sending_within_s", seconds(s.figures.drain_grace)},
+        {"cold_s", seconds(s.figures.cold)},
+        {"fall_s", seconds(s.figures.fall_window)},
+        {"fall_multiple", s.figures.fall_multiple},
+        {"start_capacity", s.figures.start_capacity}}},
+      {"discovery", "push"},
+      {"weights", "nominal"},
+      {"resolution_s", 0.005}};
+  char hex_seed[17];
+  std::snprintf(hex_seed, sizeof hex_seed, "%016llx", static_cast<unsigned long long>(seed));
+  return {{"name", "n" + std::to_string(relay)},
+          {"listen", listen},
+          {"discovery", discovery},
+          {"seed", hex_seed},
+          {"limits",
+           {{"cores", 1.0}, {"memory_mb", s.memory_mb}, {"sockets", s.sockets}, {"disk_mb", s.disk_mb}}},
+          {"known", json::parse(known)},
+          {"settings", settings}};
+}
+
+}  // namespace umberhoist::rehearsal
--- /dev/null
+++ b/rehearsal/report.cpp
@@ -0,0 +1,421 @@
+#include "rehearsal/report.h"
+
+#include <algorithm>
+#include <cstdio>
+#include <fstream>
+#include <map>
+#include <nlohmann/json.hpp>
+#include <sstream>
+#include <stdexcept>
+
+namespace umberhoist::rehearsal {
+namespace {
+
+using nlohmann::json;
+
+std::string text(const char* form, auto... values) {
+  char out[512];
+  std::snprintf(out, sizeof out, form, values...);
+  return out;
+}
+
+const char* verdict(Result result) {
+  switch (result) {
+    case Result::kKept:
+      return "all rules kept";
+    case Result::kBroken:
+      return "RULES BROKEN";
+    default:
+      return "inconclusive";
+  }
+}
+
+double percent(uint64_t part, uint64_t whole) {
+  return whole == 0 ? 0 : 100.0 * static_cast<double>(part) / static_cast<double>(whole);
+}
+
+std::string breach_line(const Breach& b, bool doubtful) {
+  std::string out = std::string(name_of(b.rule));
+  if (number_of(b.rule) > 0) out += " (rule " + std::to_string(number_of(b.rule)) + ")";
+  if (doubtful) out += " [doubtful: the kit ran late]";
+  if (b.relay >= 0) out += ", relay " + std::to_string(b.relay);
+  if (b.destination >= 0) out += ", partner p" + std::to_string(b.destination);
+  if (b.message != 0) out += ", message " + std::to_string(b.message) + " id " + hex(b.id);
+  return out + ": " + b.what;
+}
+
+std::map<std::string, size_t> by_rule(const Outcome& o) {
+  std::map<std::string, size_t> out;
+  for (const Breach& b : o.breaches) ++out[name_of(b.rule)];
+  return out;
+}
+
+double worth_share(const Scenario& s, const Outcome& o) {
+  double earned = 0, asked = 0;
+  for (size_t i = 0; i < o.tallies.size(); ++i) {
+    earned += o.tallies[i].worth;
+    asked += s.classes[i].worth * static_cast<double>(o.tallies[i].asked);
+  }
+  return asked > 0 ? earned / asked : 0;
+}
+
+Time relay_cpu(const Outcome& o) {
+  Time out = 0;
+  for (const Sample& s : o.samples) {
+    for (const RelaySample& r : s.relays) out += r.cpu;
+  }
+  return out;
+}
+
+// ---- HTML ----
+
+std::string escape(const std::string& in) {
+  std::string out;
+  for (const char c : in) {
+    if (c == '<') {
+      out += "&lt;";
+    } else if (c == '>') {
+      out += "&gt;";
+    } else if (c == '&') {
+      out += "&amp;";
+    } else if (c == '"') {
+      out += "&quot;";
+    } else {
+      out += c;
+    }
+  }
+  return out;
+}
+
+struct Series {
+  std::string name;
+  std::vector<double> values;  // one a second
+};
+
+constexpr const char* kColours[] = {"#2563a8", "#c4662b", "#3b8a4c", "#a03e78",
+                                    "#8a7a22", "#5b5b5b", "#1b9ba0", "#b03030"};
+
+// The events of the script as marks along the top: a bar as long as each lasts, and its name when pointed at.
+std::string marks(const Outcome& o, double span, double left, double width, double top, double height) {
+  std::string out;
+  for (const EventPlan& e : o.events) {
+    const double x = left + width * std::min(1.0, static_cast<double>(e.at) / 1e6 / span);
+    const double w = std::max(1.5, width * static_cast<double>(e.lasts) / 1e6 / span);
+    out += text("<rect x=\"%.1f\" y=\"%.1f\" width=\"%.1f\" height=\"%.1f\" class=\"mark\"><title>", x, top,
+                std::min(w, left + width - x), height) +
+           escape(text("%.1f s: ", static_cast<double>(e.at) / 1e6) + e.text) + "</title></rect>";
+  }
+  return out;
+}
+
+std::string plot(const Outcome& o, const std::string& title, const std::string& unit,
+                 const std::vector<Series>& all) {
+  constexpr double kWidth = 860, kHeight = 190, kLeft = 56, kRight = 12, kTop = 12, kBottom = 24;
+  size_t count = 2;
+  double most = 0;
+  for (const Series& s : all) {
+    count = std::max(count, s.values.size());
+    for (const double v : s.values) most = std::max(most, v);
+  }
+  if (most <= 0) most = 1;
+  double step = 1;  // a round grid of at most five lines
+  while (step * 5 < most) step *= 2;
+  while (step * 2.5 > most && step > 0.01) step /= 2;
+  most = std::ceil(most / step) * step;
+  const double width = kWidth - kLeft - kRight, height = kHeight - kTop - kBottom;
+  const double span = static_cast<double>(count - 1);
+  std::string out = "<h3>" + escape(title) + " <small>" + escape(unit) +
+                    "</small></h3><svg viewBox=\"0 0 860 190\" role=\"img\">";
+  out += marks(o, span, kLeft, width, kTop, height);
+  for (double v = 0; v <= most + step / 2; v += step) {
+    const double y = kTop + height * (1 - v / most);
+    out += text(
+        "<line x1=\"%.0f\" x2=\"%.0f\" y1=\"%.1f\" y2=\"%.1f\" class=\"grid\"/><text x=\"%.0f\" y=\"%.1f\" "
+        "text-anchor=\"end\">%g</text>",
+        kLeft, kWidth - kRight, y, y, kLeft - 6, y + 4, v);
+  }
+  const int every = std::max(1, static_cast<int>(span / 8));
+  for (int t = 0; t <= static_cast<int>(span); t += every) {
+    out += text("<text x=\"%.1f\" y=\"%.0f\" text-anchor=\"middle\">%d s</text>", kLeft + width * t / span,
+                kHeight - 6, t);
+  }
+  std::string legend = "<p class=\"legend\">";
+  for (size_t i = 0; i < all.size(); ++i) {
+    const char* colour = kColours[i % std::size(kColours)];
+    out += text("<polyline fill=\"none\" stroke=\"%s\" stroke-width=\"1.6\" points=\"", colour);
+    for (size_t t = 0; t < all[i].values.size(); ++t) {
+      out += text("%.1f,%.1f ", kLeft + width * static_cast<double>(t) / span,
+                  kTop + height * (1 - all[i].values[t] / most));
+    }
+    out += "\"/>";
+    legend += text("<span style=\"color:%s\">&#9632;</span> ", colour) + escape(all[i].name) + " &nbsp; ";
+  }
+  return out + "</svg>" + legend + "</p>";
+}
+
+template <class Get>
+std::vector<double> per_second(const Outcome& o, Get get) {
+  std::vector<double> out;
+  for (const Second& s : o.by_second) out.push_back(get(s));
+  return out;
+}
+
+template <class Get>
+std::vector<double> per_sample(const Outcome& o, Get get) {
+  std::vector<double> out;
+  for (const Sample& s : o.samples) out.push_back(get(s));
+  return out;
+}
+
+std::string plots(const Scenario& s, const Outcome& o) {
+  std::string out;
+  std::vector<Series> flow = {
+      {"arrivals", per_second(o, [](const Second& x) { return double(x.arrivals); })}};
+  for (size_t c = 0; c < s.classes.size(); ++c) {
+    flow.push_back({"delivered, " + s.classes[c].name,
+                    per_second(o, [c](const Second& x) { return double(x.delivered[c]); })});
+  }
+  out += plot(o, "Arrivals and deliveries", "messages a second", flow);
+  out += plot(o, "Refused and failed", "messages a second",
+              {{"refusals, each", per_second(o, [](const Second& x) { return double(x.refusals); })},
+               {"refused for good", per_second(o, [](const Second& x) { return double(x.refused); })},
+               {"failed", per_second(o, [](const Second& x) { return double(x.failed); })}});
+  out += plot(o, "Held and in flight", "messages",
+              {{"taken on and not over", per_sample(o, [](const Sample& x) { return double(x.held); })},
+               {"calls out", per_sample(o, [](const Sample& x) { return double(x.calls_out); })},
+               {"open at clients", per_sample(o, [](const Sample& x) { return double(x.open); })}});
+  out += plot(o, "Attempts for each message", "attempts over arrivals, by second",
+              {{"attempts", per_second(o, [](const Second& x) {
+                  return x.arrivals == 0 ? 0.0 : double(x.attempts) / double(x.arrivals);
+                })}});
+  out += plot(o, "Latency of what was delivered", "milliseconds, from a message's arrival",
+              {{"median", per_second(o, [](const Second& x) { return x.latency.quantile(0.5); })},
+               {"90%", per_second(o, [](const Second& x) { return x.latency.quantile(0.9); })},
+               {"99%", per_second(o, [](const Second& x) { return x.latency.quantile(0.99); })}});
+  std::vector<Series> cpu, memory, descriptors;
+  for (size_t r = 0; r < static_cast<size_t>(s.relays) && r < 8; ++r) {
+    const std::string name = "relay " + std::to_string(r);
+    cpu.push_back({name, per_sample(o, [r](const Sample& x) { return double(x.relays[r].cpu) / 1e4; })});
+    memory.push_back(
+        {name, per_sample(o, [r](const Sample& x) { return double(x.relays[r].memory) / 1e6; })});
+    descriptors.push_back(
+        {name, per_sample(o, [r](const Sample& x) { return double(x.relays[r].descriptors); })});
+  }
+  out += plot(o, "Relay CPU", "percent of a core", cpu);
+  out += plot(o, "Relay memory", "MB resident", memory);
+  out += plot(o, "Relay descriptors", "open", descriptors);
+  return out;
+}
+
+constexpr const char* kStyle =
+    "body{font:15px/1.45 system-ui,sans-serif;margin:2em auto;max-width:900px;padding:0 1em;color:#222}"
+    "h1{font-size:1.5em}h2{font-size:1.2em;margin-top:2em}h3{font-size:1em;margin:1.2em 0 .2em}"
+    "small{color:#777;font-weight:normal}svg{width:100%;height:auto;background:#fafafa}"
+    "svg text{font:11px system-ui,sans-serif;fill:#666}.grid{stroke:#ddd}.mark{fill:#d9a441;opacity:.16}"
+    ".legend{margin:.1em 0;font-size:13px}table{border-collapse:collapse;width:100%}"
+    "td,th{padding:.25em .7em;border-bottom:1px solid "
+    "#ddd;text-align:right}td:first-child,th:first-child{text-align:left}"
+    ".verdict{padding:.6em "
+    "1em;border-radius:4px;color:#fff;font-weight:600}.k0{background:#3b8a4c}.k1{background:#b03030}"
+    ".k3{background:#8a7a22}details{border-left:4px solid #b03030;padding:.3em .8em;margin:.5em "
+    "0;background:#fdf3f2}"
+    "pre{overflow-x:auto;font-size:12.5px}";
+
+}  // namespace
+
+std::string summary(const Scenario& s, const Options& options, const Outcome& o) {
+  std::ostringstream out;
+  out << s.name << ", seed " << options.seed << ", digest " << hex(o.digest) << ": " << verdict(o.result);
+  if (!o.why.empty()) out << " (" << o.why << ")";
+  out << "\n";
+  out << text("%-18s %9s %8s %8s %8s %8s %8s %8s %9s %9s\n", "class", "asked", "in time", "late", "refused",
+              "failed", "lost", "no end", "p50 ms", "p99 ms");
+  for (const ClassTally& t : o.tallies) {
+    out << text("%-18s %9llu %7.1f%% %7.1f%% %7.1f%% %7.1f%% %8llu %8llu %9.1f %9.1f\n", t.name.c_str(),
+                static_cast<unsigned long long>(t.asked), percent(t.in_time, t.asked),
+                percent(t.late, t.asked), percent(t.refused, t.asked), percent(t.failed, t.asked),
+                static_cast<unsigned long long>(t.lost), static_cast<unsigned long long>(t.unanswered),
+                t.latency.quantile(0.5), t.latency.quantile(0.99));
+  }
+  const double messages = std::max<double>(1, static_cast<double>(o.messages));
+  out << text(
+      "worth %.3f; %.2f attempts and %.2f handings-in a message; CPU a message: relays %.0f us, kit %.0f "
+      "us\n",
+      worth_share(s, o), static_cast<double>(o.attempts) / messages,
+      static_cast<double>(o.handings) / messages, static_cast<double>(relay_cpu(o)) / messages,
+      static_cast<double>(o.lateness.kit_cpu) / messages);
+  out << text("the kit's own lateness: p50 %.2f ms, p99 %.2f ms, longest stall %.1f ms\n",
+              o.lateness.sends.quantile(0.5), o.lateness.sends.quantile(0.99),
+              static_cast<double>(o.lateness.longest_stall) / 1e3);
+  for (const std::string& note : o.notes) out << "note: " << note << "\n";
+  if (o.breach_count > 0) {
+    out << "\n" << o.breach_count << " BREACHES:";
+    for (const auto& [rule, count] : by_rule(o)) out << " " << rule << " x" << count;
+    out << "\n";
+    std::map<std::string, int> shown;
+    for (size_t i = 0; i < o.breaches.size(); ++i) {
+      const Breach& b = o.breaches[i];
+      if (++shown[name_of(b.rule)] > 3) continue;  // the report has them all
+      out << "\n" << breach_line(b, o.doubtful.size() > i && o.doubtful[i]) << "\n";
+      for (const std::string& line : b.history) out << "  " << line << "\n";
+    }
+  }
+  return out.str();
+}
+
+std::string report_json(const Scenario& s, const Options& options, const Outcome& o) {
+  json out = {{"scenario", s.name},
+              {"seed", options.seed},
+              {"digest", hex(o.digest)},
+              {"result", o.result == Result::kKept     ? "kept"
+                         : o.result == Result::kBroken ? "broken"
+                                                       : "inconclusive"},
+              {"why", o.why},
+              {"interrupted", o.interrupted},
+              {"seconds", o.seconds},
+              {"messages", o.messages},
+              {"handed_in", o.handings},
+              {"attempts", o.attempts},
+              {"notices", o.notices},
+              {"client_connections", o.opened},
+              {"worth", worth_share(s, o)},
+              {"breaches", o.breach_count}};
+  const double messages = std::max<double>(1, static_cast<double>(o.messages));
+  out["cpu_us_a_message"] = {{"relays", static_cast<double>(relay_cpu(o)) / messages},
+                             {"kit", static_cast<double>(o.lateness.kit_cpu) / messages}};
+  out["kit"] = {{"send_lateness_ms",
+                 {{"p50", o.lateness.sends.quantile(0.5)}, {"p99", o.lateness.sends.quantile(0.99)}}},
+                {"longest_stall_ms", static_cast<double>(o.lateness.longest_stall) / 1e3},
+                {"stalls", o.lateness.stalls},
+                {"suspended_ms", static_cast<double>(o.lateness.suspended) / 1e3}};
+  out["by_rule"] = by_rule(o);
+  out["classes"] = json::array();
+  for (const ClassTally& t : o.tallies) {
+    out["classes"].push_back({{"name", t.name},
+                              {"asked", t.asked},
+                              {"in_time", t.in_time},
+                              {"late", t.late},
+                              {"refused", t.refused},
+                              {"failed", t.failed},
+                              {"lost_with_machine", t.lost},
+                              {"no_end", t.unanswered},
+                              {"p50_ms", t.latency.quantile(0.5)},
+                              {"p90_ms", t.latency.quantile(0.9)},
+                              {"p99_ms", t.latency.quantile(0.99)}});
+  }
+  out["events"] = json::array();
+  for (const EventPlan& e : o.events) {
+    out["events"].push_back({{"at_s", static_cast<double>(e.at) / 1e6},
+                             {"for_s", static_cast<double>(e.lasts) / 1e6},
+                             {"do", e.text},
+                             {"partners", e.partners}});
+  }
+  out["notes"] = o.notes;
+  out["breach_list"] = json::array();
+  for (size_t i = 0; i < o.breaches.size(); ++i) {
+    const Breach& b = o.breaches[i];
+    out["breach_list"].push_back({{"rule", name_of(b.rule)},
+                                  {"number", number_of(b.rule)},
+                                  {"what", b.what},
+                                  {"message", b.message},
+                                  {"id", hex(b.id)},
+                                  {"relay", b.relay},
+                                  {"partner", b.destination},
+                                  {"doubtful", o.doubtful.size() > i && o.doubtful[i]},
+                                  {"history", b.history}});
+  }
+  out["by_second"] = json::array();
+  for (const Second& x : o.by_second) {
+    out["by_second"].push_back({{"arrivals", x.arrivals},
+                                {"delivered", x.delivered},
+                                {"refusals", x.refusals},
+                                {"refused", x.refused},
+                                {"failed", x.failed},
+                                {"attempts", x.attempts},
+                                {"p50_ms", x.latency.quantile(0.5)},
+                                {"p99_ms", x.latency.quantile(0.99)}});
+  }
+  out["samples"] = json::array();
+  for (const Sample& x : o.samples) {
+    json relays = json::array();
+    for (const RelaySample& r : x.relays) {
+      relays.push_back({{"running", r.running},
+                        {"cpu_ms", static_cast<double>(r.cpu) / 1e3},
+                        {"memory_mb", static_cast<double>(r.memory) / 1e6},
+                        {"descriptors", r.descriptors}});
+    }
+    out["samples"].push_back(
+        {{"open", x.open}, {"held", x.held}, {"calls_out", x.calls_out}, {"relays", relays}});
+  }
+  return out.dump(1);
+}
+
+std::string report_html(const Scenario& s, const Options& options, const Outcome& o) {
+  std::string out =
+      "<!doctype html><html lang=\"en\"><meta charset=\"utf-8\"><title>Rehearsal: " + escape(s.name) +
+      "</title><style>" + kStyle + "</style><h1>" + escape(s.name) + " <small>" + escape(s.title) +
+      "</small></h1>";
+  out += text("<p class=\"verdict k%d\">", static_cast<int>(o.result)) + std::string(verdict(o.result)) +
+         (o.why.empty() ? "" : ": " + escape(o.why)) + "</p>";
+  out += text(
+      "<p>Seed %llu, digest %s, %.1f s, %llu messages, %d relay(s), %d partners. Worth earned: %.3f of what "
+      "was asked for.</p>",
+      static_cast<unsigned long long>(options.seed), hex(o.digest).c_str(), o.seconds,
+      static_cast<unsigned long long>(o.messages), s.relays, s.partners, worth_share(s, o));
+  if (o.breach_count > 0) {
+    out += "<h2>Breaches: " + std::to_string(o.breach_count) + "</h2>";
+    for (size_t i = 0; i < o.breaches.size(); ++i) {
+      out += "<details" + std::string(i < 3 ? " open" : "") + "><summary>" +
+             escape(breach_line(o.breaches[i], o.doubtful.size() > i && o.doubtful[i])) + "</summary>";
+      if (!o.breaches[i].history.empty()) {
+        out += "<pre>";
+        for (const std::string& line : o.breaches[i].history) out += escape(line) + "\n";
+        out += "</pre>";
+      }
+      out += "</details>";
+    }
+  }
+  out +=
+      "<h2>Classes</h2><table><tr><th>class<th>asked<th>in time<th>late<th>refused<th>failed<th>lost with a "
+      "machine<th>no end<th>p50 ms<th>p99 ms</tr>";
+  for (const ClassTally& t : o.tallies) {
+    out += "<tr><td>" + escape(t.name) +
+           text("<td>%llu<td>%.1f%%<td>%.1f%%<td>%.1f%%<td>%.1f%%<td>%llu<td>%llu<td>%.1f<td>%.1f</tr>",
+                static_cast<unsigned long long>(t.asked), percent(t.in_time, t.asked),
+                percent(t.late, t.asked), percent(t.refused, t.asked), percent(t.failed, t.asked),
+                static_cast<unsigned long long>(t.lost), static_cast<unsigned long long>(t.unanswered),
+                t.latency.quantile(0.5), t.latency.quantile(0.99));
+  }
+  out +=
+      "</table><h2>Over time</h2><p class=\"legend\">Shaded: what the script did; point at it for its "
+      "name.</p>" +
+      plots(s, o);
+  out += "<h2>Script</h2><table><tr><th>what<th>at<th>for</tr>";
+  for (const EventPlan& e : o.events) {
+    out += "<tr><td>" + escape(e.text) +
+           text("<td>%.1f s<td>%.1f s</tr>", static_cast<double>(e.at) / 1e6,
+                static_cast<double>(e.lasts) / 1e6);
+  }
+  out += "</table>";
+  for (const std::string& note : o.notes) out += "<p>" + escape(note) + "</p>";
+  out += text(
+      "<h2>The kit itself</h2><p>Messages were handed in %.2f ms late at the median and %.2f ms at 99%%; its "
+      "longest stall was %.1f ms, and it used %.1f s of CPU.</p></html>\n",
+      o.lateness.sends.quantile(0.5), o.lateness.sends.quantile(0.99),
+      static_cast<double>(o.lateness.longest_stall) / 1e3, static_cast<double>(o.lateness.kit_cpu) / 1e6);
+  return out;
+}
+
+void write_report(const Scenario& s, const Options& options, const Outcome& o) {
+  const auto put = [&](const char* name, const std::string& bytes) {
+    const auto path = options.folder / name;
+    std::ofstream file(path, std::ios::binary);
+    file << bytes;
+    file.close();
+    if (!file) throw std::runtime_error("cannot write " + path.string());
+  };
+  put("report.json", report_json(s, options, o));
+  put("report.html", report_html(s, options, o));
+}
+
+}  // namespace umberhoist::rehearsal
--- /dev/null
+++ b/rehearsal/report.h
@@ -0,0 +1,18 @@
+// What a rehearsal found: for the terminal, as JSON, and as one HTML page that needs nothing beside it.
+#pragma once
+
+#include <filesystem>
+#include <string>
+
+#include "rehearsal/run.h"
+
+namespace umberhoist::rehearsal {
+
+std::string summary(const Scenario& scenario, const Options& options, const Outcome& outcome);
+std::string report_json(const Scenario& scenario, const Options& options, const Outcome& outcome);
+std::string report_html(const Scenario& scenario, const Options& options, const Outcome& outcome);
+
+// report.json and report.html; throws std::runtime_error if one cannot be written.
+void write_report(const Scenario& scenario, const Options& options, const Outcome& outcome);
+
+}  // namespace umberhoist::rehearsal
--- /dev/null
+++ b/rehearsal/run.cpp
@@ -0,0 +1,760 @@
+#include "rehearsal/run.h"
+
+#include <signal.h>
+#include <sys/resource.h>
+#include <sys/wait.h>
+#include <time.h>
+
+#include <algorithm>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/signal_set.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <cmath>
+#include <cstdio>
+#include <map>
+#include <memory>
+#include <set>
+
+#include "rehearsal/random.h"
+#include "rehearsal/relay_config.h"
+#include "standins/agent.h"
+#include "standins/endpoints.h"
+#include "standins/front.h"
+#include "standins/process.h"
+
+namespace umberhoist::rehearsal {
+namespace {
+
+using boost::asio::steady_timer;
+using standins::Trouble;
+using Error = boost::system::error_code;
+
+constexpr Time kTick = 5 * kMillisecond;
+constexpr Time kStall = 40 * kMillisecond;  // under the tolerance of the rules
+constexpr Time kDoubtBefore = kSecond;      // a breach so soon after a stall may be the kit's own
+constexpr Time kDoubtAfter = 100 * kMillisecond;
+constexpr Time kMostStall = 500 * kMillisecond;  // past these the run says nothing
+constexpr Time kMostSendLateness = 100 * kMillisecond;
+constexpr Time kMostSuspended = 200 * kMillisecond;
+constexpr Time kStartWithin = 30 * kSecond;
+constexpr Time kPingEvery = 20 * kMillisecond;
+constexpr Time kSettle = 500 * kMillisecond;      // after the last end, for what should not come
+constexpr Time kKillAfter = 3700 * kMillisecond;  // SIGKILL follows SIGTERM
+constexpr Time kFrontHearsOfStop = 300 * kMillisecond;
+constexpr Time kMoveGrace = 1500 * kMillisecond;
+constexpr Time kHandOver = 500 * kMillisecond;  // between one machine's end and the next at its address
+constexpr Span kDrainLasts{6, 10};              // seconds that an endpoint drains before it goes
+
+Time clock_of(clockid_t id) {
+  timespec t{};
+  ::clock_gettime(id, &t);
+  return static_cast<Time>(t.tv_sec) * kSecond + t.tv_nsec / 1000;
+}
+
+Time own_cpu() { return clock_of(CLOCK_PROCESS_CPUTIME_ID); }
+
+bool is_outage(Action action, double amount) {
+  return action == Action::kSilent || action == Action::kHang || action == Action::kShut ||
+         action == Action::kRefuse || ((action == Action::kFail || action == Action::kReset) && amount > 0.5);
+}
+
+Trouble trouble_of(Action action) {
+  switch (action) {
+    case Action::kSilent:
+      return Trouble::kSilent;
+    case Action::kHang:
+      return Trouble::kHang;
+    case Action::kShut:
+      return Trouble::kShut;
+    case Action::kRefuse:
+      return Trouble::kRefuse;
+    case Action::kFail:
+      return Trouble::kFail;
+    case Action::kSlow:
+      return Trouble::kSlow;
+    case Action::kReset:
+      return Trouble::kReset;
+    default:
+      return Trouble::kSpoil;
+  }
+}
+
+class Rehearsal {
+ public:
+  Rehearsal(const Scenario& scenario, const Options& options)
+      : scenario_(scenario),
+        options_(options),
+        plan_(make_plan(scenario, options.seed)),
+        random_(options.seed * 2654435761 + 17),
+        checker_(scenario.figures, steady_now()),
+        ledger_(scenario, options.seed + 1,
+                [this](Time at, const Ledger::Again& again) { hand_in_again(at, again); }),
+        ticker_(io_),
+        arrival_timer_(io_),
+        signals_(io_, SIGINT, SIGTERM) {
+    witnesses_.add(checker_);
+    witnesses_.add(ledger_);
+  }
+
+  Outcome run() {
+    raise_descriptors();
+    signals_.async_wait([this](const Error& error, int) {
+      if (!error) interrupt();
+    });
+    build_world();
+    for (size_t i = 0; i < relays_.size(); ++i) start_relay(static_cast<int>(i));
+    begun_ = steady_now();
+    expected_tick_ = begun_;
+    tick();
+    io_.run();
+    return conclude();
+  }
+
+ private:
+  struct Relay {
+    std::unique_ptr<standins::Process> process;
+    std::unique_ptr<standins::Agent> agent;
+    boost::asio::ip::tcp::endpoint address;
+    std::optional<boost::asio::ip::tcp::acceptor> door;  // bound and never listening: keeps the port for the relay
+    enum class State { kStarting, kUp, kStopping, kDown } state = State::kDown;
+    Time state_since = 0;
+    bool lost = false;
+    bool expected = false;  // its end was asked for
+    Time cpu_before = 0;
+    int starts = 0;
+  };
+
+  void after(Time wait, std::function<void()> what) { at(steady_now() + wait, std::move(what)); }
+
+  void at(Time when, std::function<void()> what) {
+    auto timer = std::make_shared<steady_timer>(io_);
+    timer->expires_at(at_time(when));
+    timer->async_wait([timer, what = std::move(what)](const Error& error) {
+      if (!error) what();
+    });
+  }
+
+  static void raise_descriptors() {
+    rlimit limit{};
+    if (::getrlimit(RLIMIT_NOFILE, &limit) != 0) return;
+    limit.rlim_cur = limit.rlim_max;
+    ::setrlimit(RLIMIT_NOFILE, &limit);
+  }
+
+  // ---- The world ----
+
+  void build_world() {
+    standins::Endpoints::Limits limits;
+    limits.relays = scenario_.relays;
+    limits.slots = plan_.slots;
+    limits.idle = static_cast<Time>(scenario_.idle_s * 1e6);
+    endpoints_ = std::make_unique<standins::Endpoints>(
+        io_, limits, witnesses_, [this] { return random_.unit(); },
+        [this](uint64_t id) -> std::optional<int> {
+          if (ledger_.is_over(id)) return 410;
+          if (ledger_.attempts_of(id) > scenario_.max_attempts) return 504;
+          return {};
+        });
+    Time key_window = 0;
+    for (const ClassSpec& c : scenario_.classes) {
+      if (c.effect == Effect::kKeyed)
+        key_window = std::max(key_window, static_cast<Time>(c.key_window_s * 1e6));
+    }
+    for (const PartnerPlan& p : plan_.partners) {
+      const KindSpec& kind = scenario_.kinds[static_cast<size_t>(p.kind)];
+      standins::PartnerSettings s;
+      s.service = p.service;
+      s.cv = p.cv;
+      s.places = p.places;
+      s.queue = p.queue;
+      s.limit = p.limit == Limit::kRate     ? standins::PartnerSettings::Limit::kRate
+                : p.limit == Limit::kWindow ? standins::PartnerSettings::Limit::kWindow
+                                            : standins::PartnerSettings::Limit::kNone;
+      s.limit_rate = p.limit_rate;
+      s.span = p.span;
+      s.tells_wait = kind.tells_wait;
+      s.wait_low = static_cast<Time>(kind.wait_ms.low * 1e3);
+      s.wait_high = static_cast<Time>(kind.wait_ms.high * 1e3);
+      s.error_rate = kind.error_rate;
+      if (key_window > 0) s.key_window = key_window;
+      s.cold = scenario_.figures.cold;
+      s.start_capacity = scenario_.figures.start_capacity;
+      s.fall_multiple = scenario_.figures.fall_multiple;
+      s.fall_window = scenario_.figures.fall_window;
+      endpoints_->add_partner(p.number, s);
+    }
+    relays_.resize(static_cast<size_t>(scenario_.relays));
+    std::vector<boost::asio::ip::tcp::endpoint> addresses;
+    for (size_t i = 0; i < relays_.size(); ++i) {
+      Relay& relay = relays_[i];
+      const auto folder = options_.folder / "relays" / ("n" + std::to_string(i));
+      relay.process = std::make_unique<standins::Process>(options_.relay, folder);
+      relay.agent = std::make_unique<standins::Agent>(io_, static_cast<int>(i), witnesses_);
+      relay.door.emplace(standins::bound_acceptor(io_));
+      relay.address = relay.door->local_endpoint();
+      addresses.push_back(relay.address);
+    }
+    front_ = std::make_unique<standins::Front>(
+        io_, addresses, standins::Front::Limits{}, witnesses_,
+        [this](int i) { return relays_[static_cast<size_t>(i)].state != Relay::State::kUp; });
+    std::vector<int> fresh;
+    for (const PartnerPlan& p : plan_.partners) {
+      for (int e = 0; e < p.endpoints; ++e) fresh.push_back(open_endpoint(p.number, {}));
+    }
+    tell(fresh, true);
+  }
+
+  int open_endpoint(int destination, std::optional<int> at_site_of) {
+    const int number = ++last_endpoint_;
+    const PartnerPlan& partner = plan_.partners[static_cast<size_t>(destination)];
+    standins::EndpointSettings settings;
+    settings.number = number;
+    settings.destination = destination;
+    settings.connections = scenario_.kinds[static_cast<size_t>(partner.kind)].connections;
+    endpoints_->open(settings, at_site_of);
+    standins::ListEntry entry;
+    entry.endpoint = number;
+    entry.id = "s-" + hex(random_.bits()).substr(0, 8);
+    entry.locality = zone_name(static_cast<int>(random_.below(static_cast<size_t>(scenario_.zones))));
+    entry.flavor = scenario_.kinds[static_cast<size_t>(partner.kind)].name;
+    entry.cell = destination;
+    entry.size = partner.told_rate;
+    if (start_ != 0) entry.up_since_ms = clock_of(CLOCK_REALTIME) / 1000;
+    list_[number] = entry;
+    return number;
+  }
+
+  // The list changed: each agent hears of it after its lag, in the order of the changes.
+  void tell(const std::vector<int>& changed, bool at_once) {
+    const Time now = steady_now();
+    std::vector<standins::ListEntry> entries;
+    for (const int number : changed) {
+      entries.push_back(list_[number]);
+      witnesses_.listed(now, number, list_[number].cell, list_[number].phase);
+    }
+    for (size_t i = 0; i < relays_.size(); ++i) {
+      for (auto& entry : entries) {
+        entry.host_port =
+            "127.0.0.1:" + std::to_string(endpoints_->port(entry.endpoint, static_cast<int>(i)));
+      }
+      if (at_once) {
+        relays_[i].agent->learn(entries);
+        continue;
+      }
+      const Time lag =
+          static_cast<Time>(random_.between(scenario_.lag_s.low, scenario_.lag_s.high) * 1e6) + extra_lag_;
+      Time& heard = heard_[i];
+      heard = std::max(heard, now + lag);  // never out of order
+      at(heard, [this, i, entries] { relays_[i].agent->learn(entries); });
+    }
+  }
+
+  // ---- Relays ----
+
+  Relay& relay(int i) { return relays_[static_cast<size_t>(i)]; }
+
+  void start_relay(int i) {
+    Relay& r = relay(i);
+    const std::string listen = "127.0.0.1:" + std::to_string(r.address.port());
+    r.process->configure(
+        relay_config(scenario_, plan_, i,
+                     options_.seed * 1000 + static_cast<uint64_t>(i) * 31 + static_cast<uint64_t>(++r.starts),
+                     listen, r.agent->address(), r.agent->whole_list())
+            .dump());
+    r.process->start();
+    r.state = Relay::State::kStarting;
+    r.state_since = steady_now();
+    r.expected = false;
+    r.cpu_before = 0;
+    witnesses_.relay_event(steady_now(), i, RelayEvent::kStarted);
+    ping(i);
+  }
+
+  void ping(int i) {
+    front_->ping(i, [this, i, starts = relay(i).starts](bool good) {
+      Relay& r = relay(i);
+      if (r.state != Relay::State::kStarting || r.starts != starts) return;
+      if (good) {
+        r.state = Relay::State::kUp;
+        r.state_since = steady_now();
+        witnesses_.relay_event(steady_now(), i, RelayEvent::kReady);
+        front_->use(i, true);
+        return maybe_begin();
+      }
+      if (steady_now() - r.state_since > kStartWithin)
+        return stop("relay " + std::to_string(i) + " was not ready within 30 s", true);
+      after(kPingEvery, [this, i, starts] {
+        if (relay(i).state == Relay::State::kStarting && relay(i).starts == starts) ping(i);
+      });
+    });
+  }
+
+  void died(int i) {
+    Relay& r = relay(i);
+    const bool crashed = !r.expected;
+    const bool clean = WIFEXITED(r.process->status()) && WEXITSTATUS(r.process->status()) == 0;
+    r.state = Relay::State::kDown;
+    const bool terminated_badly =
+        r.expected && !r.lost && stopped_by_term_.erase(i) > 0 && !clean && !killed_.contains(i);
+    killed_.erase(i);
+    witnesses_.relay_event(steady_now(), i,
+                           crashed || terminated_badly ? RelayEvent::kCrashed
+                           : r.lost                    ? RelayEvent::kLost
+                                                       : RelayEvent::kEnded);
+    if (std::exchange(r.lost, false)) r.process->forget_state();
+    if (stopping_) return;
+    if (start_ == 0)
+      return stop("relay " + std::to_string(i) + " ended before it was ready; see its log", true);
+    const Time notice =
+        static_cast<Time>(random_.between(scenario_.notice_s.low, scenario_.notice_s.high) * 1e6);
+    after(notice, [this, i, starts = r.starts] {
+      if (relay(i).starts == starts || relay(i).state != Relay::State::kUp)
+        front_->use(i, relay(i).state == Relay::State::kUp);
+    });
+    after(static_cast<Time>(scenario_.restart_s * 1e6), [this, i] {
+      if (!stopping_ && relay(i).state == Relay::State::kDown) start_relay(i);
+    });
+  }
+
+  void kill_relay(int i, bool lose) {
+    Relay& r = relay(i);
+    if (r.state == Relay::State::kDown) return note("relay " + std::to_string(i) + " was down already");
+    r.expected = true;
+    r.lost = lose;
+    killed_.insert(i);
+    witnesses_.relay_event(steady_now(), i, RelayEvent::kKilled);
+    r.process->signal(SIGKILL);
+  }
+
+  void terminate_relay(int i) {
+    Relay& r = relay(i);
+    if (r.state == Relay::State::kDown) return note("relay " + std::to_string(i) + " was down already");
+    r.expected = true;
+    r.state = Relay::State::kStopping;
+    stopped_by_term_.insert(i);
+    witnesses_.relay_event(steady_now(), i, RelayEvent::kSigterm);
+    r.process->signal(SIGTERM);
+    after(kFrontHearsOfStop, [this, i, starts = r.starts] {
+      if (relay(i).starts == starts) front_->use(i, false);
+    });
+    after(kKillAfter, [this, i, starts = r.starts] {
+      Relay& mine = relay(i);
+      if (mine.starts != starts || mine.state != Relay::State::kStopping) return;
+      killed_.insert(i);
+      mine.process->signal(SIGKILL);
+    });
+  }
+
+  void move_discovery(int i) {
+    Relay& r = relay(i);
+    if (r.state != Relay::State::kUp)
+      return note("relay " + std::to_string(i) + " was not up to hear SIGHUP");
+    r.agent->move(kMoveGrace);
+    const std::string listen = "127.0.0.1:" + std::to_string(r.address.port());
+    r.process->configure(
+        relay_config(scenario_, plan_, i, options_.seed, listen, r.agent->address(), r.agent->whole_list())
+            .dump());
+    witnesses_.relay_event(steady_now(), i, RelayEvent::kSighup);
+    r.process->signal(SIGHUP);
+  }
+
+  // ---- Load ----
+
+  void maybe_begin() {
+    if (start_ != 0 || std::any_of(relays_.begin(), relays_.end(),
+                                   [](const Relay& r) { return r.state != Relay::State::kUp; })) {
+      return;
+    }
+    start_ = steady_now();
+    cpu_at_start_ = own_cpu();
+    suspended_before_ = clock_of(CLOCK_BOOTTIME) - clock_of(CLOCK_MONOTONIC);
+    checker_.begin(start_);
+    ledger_.begin(start_);
+    next_sample_ = start_;
+    for (const EventPlan& event : plan_.events) at(start_ + event.at, [this, &event] { play(event); });
+    arrive();
+  }
+
+  void arrive() {
+    const Time now = steady_now();
+    while (next_arrival_ < plan_.arrivals.size() && start_ + plan_.arrivals[next_arrival_].at <= now) {
+      const ArrivalPlan& arrival = plan_.arrivals[next_arrival_++];
+      const Time planned = start_ + arrival.at;
+      lateness_.sends.add(std::max<Time>(0, steady_now() - planned));
+      const Time due = planned + static_cast<Time>(scenario_.classes[arrival.message_class].give_up_s * 1e6);
+      ledger_.arrived(planned, arrival, due);
+      hand_in(arrival, due, false, -1);
+    }
+    if (next_arrival_ == plan_.arrivals.size() || stopping_) return;
+    arrival_timer_.expires_at(at_time(start_ + plan_.arrivals[next_arrival_].at));
+    arrival_timer_.async_wait([this](const Error& error) {
+      if (!error && !stopping_) arrive();
+    });
+  }
+
+  // A body is the same for each handing-in of a message.
+  static std::string body_of(const ArrivalPlan& arrival) {
+    std::string out(arrival.body, '\0');
+    uint64_t x = arrival.message * 0x9e3779b97f4a7c15 + 1;
+    for (char& c : out) {
+      x ^= x << 13;
+      x ^= x >> 7;
+      x ^= x << 17;
+      c = static_cast<char>(x);
+    }
+    return out;
+  }
+
+  void hand_in(const ArrivalPlan& arrival, Time due, bool after_death, int not_to) {
+    int to = front_->pick();
+    if (to == not_to) to = front_->pick();
+    const ClassSpec& spec = scenario_.classes[arrival.message_class];
+    Handing h;
+    h.id = random_.bits() | 1;
+    h.message = arrival.message;
+    h.relay = std::max(0, to);
+    h.message_class = arrival.message_class;
+    h.destination = arrival.partner;
+    h.key = spec.effect == Effect::kKeyed ? arrival.message * 0x9e3779b97f4a7c15 + options_.seed + 1 : 0;
+    const Time left = std::max<Time>(1, (due - steady_now()) / 1000);
+    h.due = steady_now() + left * 1000;
+    ledger_.bind(h.id, arrival.message, h.relay);
+    if (to < 0) return witnesses_.not_reached(steady_now(), h);
+    std::string facts =
+        "c=" + spec.name + ",d=" + std::to_string(left) + ",dest=" + std::to_string(arrival.partner);
+    if (h.key != 0) facts += ",k=" + hex(h.key);
+    if (after_death) facts += ",again=1";
+    front_->hand_in(h, facts, body_of(arrival));
+  }
+
+  void hand_in_again(Time when, const Ledger::Again& again) {
+    at(when, [this, again] {
+      if (!stopping_) hand_in(again.arrival, again.due, again.after_death, again.not_to);
+    });
+  }
+
+  // ---- The script ----
+
+  void play(const EventPlan& event) {
+    if (stopping_) return;
+    switch (event.action) {
+      case Action::kReplace:
+        return replace(event);
+      case Action::kLag: {
+        const Time extra = static_cast<Time>(event.amount * 1e6);
+        extra_lag_ += extra;
+        return after(event.lasts, [this, extra] { extra_lag_ -= extra; });
+      }
+      case Action::kBlackout:
+        for (Relay& r : relays_) r.agent->mute(true);
+        return after(event.lasts, [this] {
+          for (Relay& r : relays_) r.agent->mute(false);
+        });
+      case Action::kCrowd:
+        crowds_.push_back(std::make_unique<standins::Crowd>(io_, relay(event.relay).address,
+                                                            event.amount > 0 ? event.amount : 100,
+                                                            steady_now() + event.lasts));
+        return;
+      case Action::kKill:
+        return kill_relay(event.relay, false);
+      case Action::kLose:
+        return kill_relay(event.relay, true);
+      case Action::kTerminate:
+      case Action::kRolling:
+        return terminate_relay(event.relay);
+      case Action::kMove:
+        return move_discovery(event.relay);
+      default:
+        return trouble(event);
+    }
+  }
+
+  void trouble(const EventPlan& event) {
+    const Time now = steady_now();
+    for (const int p : event.partners) {
+      if (endpoints_->partner(p).trouble() != Trouble::kNone) {
+        note(plan_.partners[static_cast<size_t>(p)].name + " was in trouble already: " + event.text +
+             " passed it by");
+        continue;
+      }
+      endpoints_->begin_trouble(p, trouble_of(event.action), now + event.lasts, event.amount,
+                                event.wait_told);
+      const bool outage = is_outage(event.action, event.amount);
+      if (outage) witnesses_.outage_began(now, p);
+      after(event.lasts, [this, p, outage] {
+        endpoints_->end_trouble(p);
+        if (outage) witnesses_.outage_ended(steady_now(), p, endpoints_->partner(p).capacity());
+      });
+    }
+  }
+
+  void replace(const EventPlan& event) {
+    Random random(event.seed);
+    std::vector<int> victims;
+    for (const auto& [number, entry] : list_) {
+      if (entry.phase == Phase::kActive) victims.push_back(number);
+    }
+    for (size_t i = victims.size(); i > 1; --i) std::swap(victims[i - 1], victims[random.below(i)]);
+    victims.resize(static_cast<size_t>(std::ceil(event.amount * static_cast<double>(victims.size()))));
+    for (size_t i = 0; i < victims.size(); ++i) {
+      const Time start = event.lasts * static_cast<Time>(i) / static_cast<Time>(victims.size());
+      const Time drains = static_cast<Time>(random.between(kDrainLasts.low, kDrainLasts.high) * 1e6);
+      const bool in_place = event.same_address && random.chance(0.34);
+      after(start, [this, number = victims[i], drains, in_place] { replace_one(number, drains, in_place); });
+    }
+  }
+
+  void replace_one(int number, Time drains, bool in_place) {
+    if (stopping_) return;
+    const int destination = list_[number].cell;
+    list_[number].phase = Phase::kLeaving;
+    std::vector<int> changed = {number};
+    if (!in_place) changed.push_back(open_endpoint(destination, {}));
+    tell(changed, false);
+    after(drains / 2, [this, number] { endpoints_->drain(number); });
+    after(drains, [this, number, destination, in_place] {
+      if (stopping_) return;
+      endpoints_->close(number);
+      list_[number].phase = Phase::kLeft;
+      tell({number}, false);
+      if (!in_place) return;
+      after(kHandOver, [this, number, destination] {
+        if (!stopping_) tell({open_endpoint(destination, number)}, false);
+      });
+    });
+  }
+
+  void note(std::string text) {
+    char at[32];
+    std::snprintf(at, sizeof at, "%.1f s: ", static_cast<double>(steady_now() - start_) / 1e6);
+    notes_.push_back(at + std::move(text));
+  }
+
+  // ---- Time ----
+
+  void tick() {
+    const Time now = steady_now();
+    const Time stall = now - expected_tick_;
+    if (start_ != 0 && !stopping_) {
+      lateness_.longest_stall = std::max(lateness_.longest_stall, stall);
+      if (stall > kStall) {
+        ++lateness_.stalls;
+        if (stalls_.size() < 10'000) stalls_.emplace_back(now - stall, now);
+      }
+    }
+    for (size_t i = 0; i < relays_.size(); ++i) {
+      if (relays_[i].state != Relay::State::kDown && relays_[i].process->ended()) died(static_cast<int>(i));
+    }
+    if (start_ != 0) {
+      checker_.advance(now);
+      while (now >= next_sample_ && !stopping_) sample();
+      watch_end(now);
+    }
+    if (over_) return;
+    expected_tick_ = std::max(expected_tick_ + kTick, now + 1);
+    ticker_.expires_at(at_time(expected_tick_));
+    ticker_.async_wait([this](const Error& error) {
+      if (!error) tick();
+    });
+  }
+
+  void sample() {
+    next_sample_ += kSecond;
+    Sample s;
+    s.open = ledger_.open();
+    s.held = ledger_.held();
+    s.calls_out = endpoints_->calls_out();
+    s.connections = front_->connections() + endpoints_->connections();
+    for (Relay& r : relays_) {
+      RelaySample one;
+      if (r.state != Relay::State::kDown) {
+        const standins::Usage usage = r.process->usage();
+        one.running = true;
+        one.memory = usage.memory;
+        one.descriptors = usage.descriptors;
+        one.cpu = std::max<Time>(0, usage.cpu - r.cpu_before);
+        r.cpu_before = usage.cpu;
+      }
+      s.relays.push_back(one);
+    }
+    samples_.push_back(std::move(s));
+    if (options_.progress) progress();
+  }
+
+  void progress() {
+    uint64_t delivered = 0, refused = 0, failed = 0;
+    for (const ClassTally& t : ledger_.tallies()) {
+      delivered += t.in_time + t.late;
+      refused += t.refused;
+      failed += t.failed + t.lost + t.unanswered;
+    }
+    std::fprintf(
+        stderr, "\r%5.0f s  %llu asked, %llu delivered, %llu refused, %llu failed, %zu open, %zu breaches   ",
+        static_cast<double>(steady_now() - start_) / 1e6, static_cast<unsigned long long>(ledger_.messages()),
+        static_cast<unsigned long long>(delivered), static_cast<unsigned long long>(refused),
+        static_cast<unsigned long long>(failed), ledger_.open(), checker_.breach_count());
+  }
+
+  // The load is over; it ends when nothing is owed any more, or what is owed is long overdue.
+  void watch_end(Time now) {
+    if (stopping_) {
+      const bool gone = std::all_of(relays_.begin(), relays_.end(),
+                                    [](const Relay& r) { return r.state == Relay::State::kDown; });
+      if (gone && !over_) {
+        over_ = true;
+        io_.stop();
+      }
+      return;
+    }
+    if (next_arrival_ < plan_.arrivals.size() || now < start_ + static_cast<Time>(scenario_.seconds * 1e6))
+      return;
+    if (now - last_expired_ > kSecond) {
+      last_expired_ = now;
+      ledger_.expire(now);
+    }
+    const bool up = std::all_of(relays_.begin(), relays_.end(),
+                                [](const Relay& r) { return r.state == Relay::State::kUp; });
+    if (ledger_.open() > 0 || checker_.owed() > 0 || !up) {
+      quiet_since_ = 0;
+      return;
+    }
+    if (quiet_since_ == 0) quiet_since_ = now;
+    if (now - quiet_since_ >= kSettle) stop("", false);
+  }
+
+  void interrupt() {
+    interrupted_ = true;
+    stop("interrupted", false);
+  }
+
+  // Ends every child: politely, and then not.
+  void stop(const std::string& why, bool failed) {
+    if (stopping_) return;
+    stopping_ = true;
+    failed_to_start_ = failed;
+    why_ = why;
+    ended_ = steady_now();
+    if (start_ != 0) checker_.finish(ended_);
+    arrival_timer_.cancel();
+    crowds_.clear();
+    for (size_t i = 0; i < relays_.size(); ++i) {
+      if (relays_[i].state == Relay::State::kDown) continue;
+      relays_[i].expected = true;
+      stopped_by_term_.insert(static_cast<int>(i));
+      relays_[i].process->signal(SIGTERM);
+    }
+    after(kKillAfter, [this] {
+      for (size_t i = 0; i < relays_.size(); ++i) {
+        if (relays_[i].state == Relay::State::kDown) continue;
+        killed_.insert(static_cast<int>(i));
+        relays_[i].process->signal(SIGKILL);
+      }
+    });
+    if (start_ == 0) start_ = ended_;  // so that its end is watched for
+  }
+
+  Outcome conclude() {
+    Outcome out;
+    out.digest = plan_.digest;
+    out.interrupted = interrupted_;
+    out.seconds = static_cast<double>(ended_ - start_) / 1e6;
+    out.breaches = checker_.breaches();
+    out.breach_count = checker_.breach_count();
+    out.tallies = ledger_.tallies();
+    out.by_second = ledger_.seconds();
+    out.samples = std::move(samples_);
+    out.events = plan_.events;
+    out.notes = std::move(notes_);
+    out.messages = ledger_.messages();
+    out.handings = ledger_.handings();
+    out.attempts = ledger_.attempts();
+    for (const Relay& r : relays_) out.notices += r.agent->notices();
+    out.opened = front_->opened();
+    out.lateness = lateness_;
+    out.lateness.kit_cpu = own_cpu() - cpu_at_start_;
+    out.lateness.suspended = clock_of(CLOCK_BOOTTIME) - clock_of(CLOCK_MONOTONIC) - suspended_before_;
+    if (options_.progress) std::fprintf(stderr, "\n");
+    if (failed_to_start_) {
+      out.result = Result::kBroken;
+      out.why = why_;
+      return out;
+    }
+    bool sure = out.breach_count > out.breaches.size();
+    for (const Breach& breach : out.breaches) {
+      const bool doubt = std::any_of(stalls_.begin(), stalls_.end(), [&](const auto& stall) {
+        return breach.at >= stall.first - kDoubtAfter && breach.at <= stall.second + kDoubtBefore;
+      });
+      out.doubtful.push_back(doubt && breach.rule != Rule::kCrash);
+      sure |= !out.doubtful.back();
+    }
+    const double late = out.lateness.sends.quantile(0.99);
+    char text[160] = "";
+    if (out.lateness.suspended > kMostSuspended) {
+      std::snprintf(text, sizeof text, "the machine slept for %.1f s",
+                    static_cast<double>(out.lateness.suspended) / 1e6);
+    } else if (out.lateness.longest_stall > kMostStall) {
+      std::snprintf(text, sizeof text, "the kit itself stood still for %.0f ms",
+                    static_cast<double>(out.lateness.longest_stall) / 1e3);
+    } else if (late > static_cast<double>(kMostSendLateness) / 1e3) {
+      std::snprintf(text, sizeof text, "the kit handed messages in late: %.0f ms for one in a hundred", late);
+    } else if (!sure && !out.breaches.empty()) {
+      std::snprintf(text, sizeof text, "each breach lies beside a moment when the kit itself ran late");
+    }
+    out.why = text;
+    const bool slept = out.lateness.suspended > kMostSuspended;
+    out.result = sure && !slept ? Result::kBroken : *text != '\0' ? Result::kInconclusive : Result::kKept;
+    if (interrupted_) out.why = "interrupted" + (out.why.empty() ? "" : "; " + out.why);
+    return out;
+  }
+
+  const Scenario& scenario_;
+  const Options& options_;
+  Plan plan_;
+  Random random_;
+  boost::asio::io_context io_{1};
+  Checker checker_;
+  Ledger ledger_;
+  Witnesses witnesses_;
+  std::unique_ptr<standins::Endpoints> endpoints_;
+  std::vector<Relay> relays_;
+  std::unique_ptr<standins::Front> front_;
+  std::vector<std::unique_ptr<standins::Crowd>> crowds_;
+  std::map<int, standins::ListEntry> list_;  // as it is
+  std::map<size_t, Time> heard_;
+  std::set<int> stopped_by_term_;
+  std::set<int> killed_;
+  int last_endpoint_ = 0;
+  Time extra_lag_ = 0;
+  steady_timer ticker_;
+  steady_timer arrival_timer_;
+  boost::asio::signal_set signals_;
+  Time begun_ = 0;
+  Time start_ = 0;  // of the load; 0: not yet
+  Time ended_ = 0;
+  Time expected_tick_ = 0;
+  Time next_sample_ = 0;
+  Time quiet_since_ = 0;
+  Time last_expired_ = 0;
+  Time cpu_at_start_ = 0;
+  Time suspended_before_ = 0;
+  size_t next_arrival_ = 0;
+  bool stopping_ = false;
+  bool over_ = false;
+  bool interrupted_ = false;
+  bool failed_to_start_ = false;
+  std::string why_;
+  Lateness lateness_;
+  std::vector<std::pair<Time, Time>> stalls_;
+  std::vector<Sample> samples_;
+  std::vector<std::string> notes_;
+};
+
+}  // namespace
+
+Outcome rehearse(const Scenario& scenario, const Options& options) {
+  std::filesystem::create_directories(options.folder);
+  Rehearsal rehearsal(scenario, options);
+  return rehearsal.run();
+}
+
+}  // namespace umberhoist::rehearsal
--- /dev/null
+++ b/rehearsal/run.h
@@ -0,0 +1,72 @@
+// One rehearsal: starts the relays, plays everything round them, and judges. One thread, one event loop.
+#pragma once
+
+#include <filesystem>
+#include <string>
+#include <vector>
+
+#include "rehearsal/checker.h"
+#include "rehearsal/ledger.h"
+#include "rehearsal/plan.h"
+
+namespace umberhoist::rehearsal {
+
+struct Options {
+  std::string relay;             // the program
+  std::filesystem::path folder;  // for configurations, logs, state and the report
+  bool progress = true;          // a line on standard error while it runs
+  uint64_t seed = 1;
+};
+
+struct RelaySample {
+  Time cpu = 0;  // since the sample before
+  size_t memory = 0;
+  int descriptors = 0;
+  bool running = false;
+};
+
+struct Sample {     // one each second
+  size_t open = 0;  // messages with their clients or held
+  size_t held = 0;  // taken on and not over
+  size_t calls_out = 0;
+  size_t connections = 0;
+  std::vector<RelaySample> relays;
+};
+
+// How well the kit kept its own time: what it judges is no truer than that.
+struct Lateness {
+  Histogram sends;         // of a handing-in, behind its time
+  Time longest_stall = 0;  // of the event loop
+  size_t stalls = 0;       // over kStall
+  Time suspended = 0;      // the machine slept
+  Time kit_cpu = 0;
+};
+
+enum class Result { kKept = 0, kBroken = 1, kInconclusive = 3 };
+
+struct Outcome {
+  Result result = Result::kKept;
+  std::string why;  // where it is inconclusive, or was broken off
+  uint64_t digest = 0;
+  double seconds = 0;  // from the first arrival to the end
+  bool interrupted = false;
+  std::vector<Breach> breaches;
+  std::vector<bool> doubtful;  // for each breach: the kit itself ran late round it
+  size_t breach_count = 0;
+  std::vector<ClassTally> tallies;
+  std::vector<Second> by_second;
+  std::vector<Sample> samples;
+  std::vector<EventPlan> events;
+  std::vector<std::string> notes;  // what the script could not do
+  uint64_t messages = 0;
+  uint64_t handings = 0;
+  uint64_t attempts = 0;
+  uint64_t notices = 0;
+  uint64_t opened = 0;  // client connections
+  Lateness lateness;
+};
+
+// Throws std::runtime_error if it cannot start; a relay that does not start is an Outcome.
+Outcome rehearse(const Scenario& scenario, const Options& options);
+
+}  // namespace umberhoist::rehearsal
--- /dev/null
+++ b/rehearsal/scenario.cpp
@@ -0,0 +1,486 @@
+#include "rehearsal/scenario.h"
+
+#include <toml++/toml.h>
+
+#include <algorithm>
+#include <fstream>
+#include <functional>
+#include <iterator>
+#include <map>
+#include <set>
+#include <sstream>
+
+namespace umberhoist::rehearsal {
+namespace {
+
+const std::map<std::string, Action, std::less<>>& actions() {
+  static const std::map<std::string, Action, std::less<>> all = {
+      {"silent", Action::kSilent},     {"hang", Action::kHang},
+      {"shut", Action::kShut},         {"refuse", Action::kRefuse},
+      {"fail", Action::kFail},         {"slow", Action::kSlow},
+      {"reset", Action::kReset},       {"spoil", Action::kSpoil},
+      {"replace", Action::kReplace},   {"lag", Action::kLag},
+      {"blackout", Action::kBlackout}, {"crowd", Action::kCrowd},
+      {"kill", Action::kKill},         {"terminate", Action::kTerminate},
+      {"rolling", Action::kRolling},   {"move", Action::kMove},
+      {"lose", Action::kLose}};
+  return all;
+}
+
+template <class Map>
+std::string names_of(const Map& map) {
+  std::string out;
+  for (const auto& [name, value] : map) out += (out.empty() ? "" : ", ") + std::string(name);
+  return out;
+}
+
+std::string place(const std::string& file, const toml::source_region& source) {
+  return file + ":" + std::to_string(source.begin.line) + ":" + std::to_string(source.begin.column);
+}
+
+// Reads the keys of one table. What was not asked for when it ends is an error: a misspelt key must not pass
+// for a default.
+class Reader {
+ public:
+  Reader(const toml::table& table, std::string file, std::string path)
+      : table_(table), file_(std::move(file)), path_(std::move(path)) {}
+
+  void number(const char* key, double& out, double low, double high) {
+    const toml::node* node = get(key);
+    if (node == nullptr) return;
+    const auto value = node->value<double>();
+    if (!node->is_number() || !value || !(*value >= low && *value <= high))
+      wrong(*node, key, range(low, high));
+    out = *value;
+  }
+
+  void integer(const char* key, int& out, int low, int high) {
+    const toml::node* node = get(key);
+    if (node == nullptr) return;
+    const auto value = node->value<int64_t>();
+    if (!node->is_integer() || !value || *value < low || *value > high) {
+      wrong(*node, key, "a whole number, " + std::to_string(low) + " to " + std::to_string(high));
+    }
+    out = static_cast<int>(*value);
+  }
+
+  void flag(const char* key, bool& out) {
+    const toml::node* node = get(key);
+    if (node == nullptr) return;
+    if (!node->is_boolean()) wrong(*node, key, "true or false");
+    out = *node->value<bool>();
+  }
+
+  void text(const char* key, std::string& out) {
+    const toml::node* node = get(key);
+    if (node == nullptr) return;
+    if (!node->is_string()) wrong(*node, key, "a string");
+    out = *node->value<std::string>();
+  }
+
+  void span(const char* key, Span& out, double low, double high) {
+    const toml::node* node = get(key);
+    if (node == nullptr) return;
+    const std::string expected = "one number or two in an array, the lower first, each " + range(low, high);
+    const auto within = [&](const toml::node& item) {
+      const auto value = item.value<double>();
+      if (!item.is_number() || !value || !(*value >= low && *value <= high)) wrong(item, key, expected);
+      return *value;
+    };
+    if (const auto* array = node->as_array()) {
+      if (array->size() != 2) wrong(*node, key, expected);
+      out = {within(*array->get(0)), within(*array->get(1))};
+      if (out.low > out.high) wrong(*node, key, expected);
+    } else {
+      out.low = out.high = within(*node);
+    }
+  }
+
+  void texts(const char* key, std::vector<std::string>& out) {
+    const toml::node* node = get(key);
+    if (node == nullptr) return;
+    const auto* array = node->as_array();
+    if (array == nullptr) wrong(*node, key, "an array of strings");
+    for (const toml::node& item : *array) {
+      if (!item.is_string()) wrong(item, key, "an array of strings");
+      out.push_back(*item.value<std::string>());
+    }
+  }
+
+  template <class Map, class Value>
+  void one_of(const char* key, const Map& map, Value& out) {
+    const toml::node* node = get(key);
+    if (node == nullptr) return;
+    const auto value = node->value<std::string>();
+    const auto it = node->is_string() && value ? map.find(*value) : map.end();
+    if (it == map.end()) wrong(*node, key, "one of " + names_of(map));
+    out = it->second;
+  }
+
+  const toml::table* table(const char* key) {
+    const toml::node* node = get(key);
+    if (node == nullptr) return nullptr;
+    if (!node->is_table()) wrong(*node, key, "a table");
+    return node->as_table();
+  }
+
+  std::vector<const toml::table*> tables(const char* key) {
+    std::vector<const toml::table*> out;
+    const toml::node* node = get(key);
+    if (node == nullptr) return out;
+    const auto* array = node->as_array();
+    if (array == nullptr) wrong(*node, key, "an array of tables, [[" + std::string(key) + "]]");
+    for (const toml::node& item : *array) {
+      if (!item.is_table()) wrong(item, key, "an array of tables, [[" + std::string(key) + "]]");
+      out.push_back(item.as_table());
+    }
+    return out;
+  }
+
+  bool has(const char* key) const { return table_.contains(key); }
+
+  void need(const char* key) const {
+    if (!table_.contains(key)) {
+      throw ScenarioError(where() + ": " + label() + " has no '" + key + "', which was expected");
+    }
+  }
+
+  void end() const {
+    for (const auto& [key, node] : table_) {
+      if (asked_.contains(std::string(key.str()))) continue;
+      std::string known;
+      for (const std::string& name : asked_) known += (known.empty() ? "" : ", ") + name;
+      throw ScenarioError(place(file_, key.source()) + ": " + label() + " knows no '" +
+                          std::string(key.str()) + "'; expected one of " + known);
+    }
+  }
+
+  [[noreturn]] void wrong(const char* key, const std::string& expected) const {
+    wrong(*table_.get(key), key, expected);
+  }
+
+  std::string where() const { return place(file_, table_.source()); }
+
+ private:
+  const toml::node* get(const char* key) {
+    asked_.insert(key);
+    return table_.get(key);
+  }
+
+  [[noreturn]] void wrong(const toml::node& node, const char* key, const std::string& expected) const {
+    throw ScenarioError(place(file_, node.source()) + ": '" + key + "' of " + label() + ": expected " +
+                        expected);
+  }
+
+  std::string label() const { return path_.empty() ? "the scenario" : "[" + path_ + "]"; }
+
+  static std::string range(double low, double high) {
+    std::ostringstream out;
+    out << "a number, " << low << " to " << high;
+    return out.str();
+  }
+
+  const toml::table& table_;
+  std::string file_;
+  std::string path_;
+  std::set<std::string> asked_;
+};
+
+const std::map<std::string, Effect, std::less<>> kEffects = {
+    {"safe", Effect::kSafe}, {"keyed", Effect::kKeyed}, {"unsafe", Effect::kUnsafe}};
+const std::map<std::string, Limit, std::less<>> kLimits = {
+    {"none", Limit::kNone}, {"rate", Limit::kRate}, {"window", Limit::kWindow}};
+
+constexpr double kDay = 86'400;
+
+KindSpec read_kind(const toml::table& table, const std::string& file) {
+  Reader in(table, file, "kind");
+  KindSpec out;
+  in.need("name");
+  in.text("name", out.name);
+  in.number("share", out.share, 0.001, 1000);
+  in.number("lean", out.lean, -1, 1);
+  in.span("endpoints", out.endpoints, 1, 64);
+  in.span("service_ms", out.service_ms, 0.01, 60'000);
+  in.number("cv", out.cv, 0, 3);
+  in.number("spare", out.spare, 0.1, 1000);
+  in.number("least_rate", out.least_rate, 0.1, 1e6);
+  in.one_of("limit", kLimits, out.limit);
+  in.number("headroom", out.headroom, 0.1, 1000);
+  in.span("span_s", out.span_s, 0.1, 60);
+  in.number("tells_wait", out.tells_wait, 0, 1);
+  in.span("wait_ms", out.wait_ms, 1, 60'000);
+  in.number("queue_s", out.queue_s, 0, 60);
+  in.integer("connections", out.connections, 0, 100'000);
+  in.number("error_rate", out.error_rate, 0, 1);
+  in.end();
+  return out;
+}
+
+ClassSpec read_class(const toml::table& table, const std::string& file, const std::vector<KindSpec>& kinds) {
+  Reader in(table, file, "class");
+  ClassSpec out;
+  in.need("name");
+  in.need("effect");
+  in.text("name", out.name);
+  in.number("share", out.share, 0.001, 1000);
+  in.one_of("effect", kEffects, out.effect);
+  in.number("key_window_s", out.key_window_s, 0.1, kDay);
+  in.number("aim_s", out.aim_s, 0.01, kDay);
+  in.number("give_up_s", out.give_up_s, 0.01, kDay);
+  in.number("worth", out.worth, 0, 1e6);
+  in.number("late_worth", out.late_worth, 0, 1);
+  in.texts("kinds", out.kinds);
+  in.end();
+  for (const std::string& kind : out.kinds) {
+    if (std::none_of(kinds.begin(), kinds.end(), [&](const KindSpec& k) { return k.name == kind; })) {
+      in.wrong("kinds", "names of [[kind]] tables; '" + kind + "' is none");
+    }
+  }
+  return out;
+}
+
+EventSpec read_event(const toml::table& table, const std::string& file, const Scenario& scenario) {
+  Reader in(table, file, "event");
+  EventSpec out;
+  out.where = in.where();
+  in.need("at_s");
+  in.need("do");
+  in.number("at_s", out.at_s, 0, scenario.seconds);
+  in.number("for_s", out.for_s, 0, kDay);
+  in.one_of("do", actions(), out.action);
+  in.text("kind", out.kind);
+  in.text("partner", out.partner);
+  in.integer("largest", out.largest, 0, 100'000);
+  in.number("share", out.share, 0, 1);
+  in.integer("relay", out.relay, 0, scenario.relays - 1);
+  in.number("amount", out.amount, 0, 1e6);
+  in.flag("wait_told", out.wait_told);
+  in.flag("same_address", out.same_address);
+  in.end();
+  const auto kind_known = [&](const KindSpec& k) { return k.name == out.kind; };
+  if (!out.kind.empty() && std::none_of(scenario.kinds.begin(), scenario.kinds.end(), kind_known)) {
+    in.wrong("kind", "the name of a [[kind]] table");
+  }
+  const bool of_partners = out.action <= Action::kSpoil;
+  const int targets = !out.kind.empty() + !out.partner.empty() + (out.largest > 0) + (out.share > 0);
+  if (of_partners && targets == 0) {
+    throw ScenarioError(out.where + ": [event] '" + action_name(out.action) +
+                        "' says nobody; expected one of kind, partner, largest or share");
+  }
+  if (of_partners && out.for_s <= 0) in.need("for_s");
+  if (out.action == Action::kReplace && (out.amount <= 0 || out.amount > 1)) {
+    throw ScenarioError(out.where +
+                        ": [event] 'replace': expected amount, the share of all endpoints, over 0 to 1");
+  }
+  const bool of_share =
+      out.action == Action::kFail || out.action == Action::kReset || out.action == Action::kSpoil;
+  if (of_share && (out.amount <= 0 || out.amount > 1)) {
+    throw ScenarioError(out.where + ": [event] '" + action_name(out.action) +
+                        "': expected amount, the share of the calls, over 0 to 1");
+  }
+  if (out.action == Action::kSlow && out.amount <= 1) {
+    throw ScenarioError(out.where + ": [event] 'slow': expected amount, a factor over 1");
+  }
+  return out;
+}
+
+// "a.b=value": the value as TOML, or as a string where it is none.
+void apply_set(toml::table& root, const std::string& set) {
+  const size_t equals = set.find('=');
+  if (equals == 0 || equals == std::string::npos) {
+    throw ScenarioError("--set " + set + ": expected key=value, such as load.rate=200");
+  }
+  toml::table parsed;
+  try {
+    parsed = toml::parse("value = " + set.substr(equals + 1));
+  } catch (const toml::parse_error&) {
+    parsed.insert_or_assign("value", set.substr(equals + 1));
+  }
+  toml::table* at = &root;
+  std::string path = set.substr(0, equals);
+  for (size_t dot = 0; (dot = path.find('.')) != std::string::npos; path.erase(0, dot + 1)) {
+    const std::string key = path.substr(0, dot);
+    if (!at->contains(key)) at->insert(key, toml::table());
+    at = at->get(key)->as_table();
+    if (at == nullptr)
+      throw ScenarioError("--set " + set + ": '" + key + "' is no table; only tables can be set in");
+  }
+  at->insert_or_assign(path, *parsed.get("value"));
+}
+
+Scenario read(const toml::table& root, const std::string& file) {
+  Scenario out;
+  Reader in(root, file, "");
+  in.text("name", out.name);
+  in.text("title", out.title);
+  in.number("seconds", out.seconds, 1, kDay);
+  int seed = 1;
+  in.integer("seed", seed, 0, 1'000'000'000);
+  out.seed = static_cast<uint64_t>(seed);
+  if (const auto* table = in.table("relays")) {
+    Reader relays(*table, file, "relays");
+    relays.integer("count", out.relays, 1, 100);
+    relays.integer("sockets", out.sockets, 64, 1'000'000);
+    relays.integer("memory_mb", out.memory_mb, 1, 1'000'000);
+    relays.number("disk_mb", out.disk_mb, 0.001, 100'000);
+    relays.number("slots_room", out.slots_room, 0.1, 100);
+    relays.integer("least_slots", out.least_slots, 1, 100'000);
+    relays.number("hold_s", out.hold_s, 0.01, 3600);
+    relays.integer("least_open", out.least_open, 1, 10'000'000);
+    relays.number("restart_s", out.restart_s, 0, 3600);
+    relays.integer("max_attempts", out.max_attempts, 1, 100);
+    relays.flag("probes", out.probes);
+    relays.end();
+  }
+  if (const auto* table = in.table("partners")) {
+    Reader partners(*table, file, "partners");
+    partners.integer("count", out.partners, 1, 100'000);
+    partners.number("zipf", out.zipf, 0, 3);
+    partners.integer("zones", out.zones, 1, 16);
+    partners.number("idle_s", out.idle_s, 2, 3600);
+    partners.number("connect_timeout_s", out.connect_timeout_s, 0.01, 60);
+    partners.end();
+  }
+  if (const auto* table = in.table("discovery")) {
+    Reader discovery(*table, file, "discovery");
+    discovery.span("lag_s", out.lag_s, 0, 3600);
+    discovery.end();
+  }
+  if (const auto* table = in.table("clients")) {
+    Reader clients(*table, file, "clients");
+    clients.integer("retries", out.retries, 0, 100);
+    clients.number("honour", out.honour, 0, 1);
+    clients.span("backoff_ms", out.backoff_ms, 1, 600'000);
+    clients.span("notice_s", out.notice_s, 0, 600);
+    clients.span("again_s", out.again_s, 0, 600);
+    clients.end();
+  }
+  if (const auto* table = in.table("rules")) {
+    Reader rules(*table, file, "rules");
+    double grace = 1, window = 3, cold = 12;
+    rules.number("drain_grace_s", grace, 0.01, 600);
+    rules.number("fall_multiple", out.figures.fall_multiple, 1, 1000);
+    rules.number("fall_s", window, 0.1, 600);
+    rules.number("cold_s", cold, 0.1, 3600);
+    rules.number("start_capacity", out.figures.start_capacity, 0.01, 1);
+    rules.end();
+    out.figures.drain_grace = static_cast<Time>(grace * 1e6);
+    out.figures.fall_window = static_cast<Time>(window * 1e6);
+    out.figures.cold = static_cast<Time>(cold * 1e6);
+  }
+  if (const auto* table = in.table("load")) {
+    Reader load(*table, file, "load");
+    load.number("rate", out.load.rate, 0.01, 1e6);
+    load.number("full", out.load.full, 0.1, 100);
+    load.number("swing", out.load.swing, 0, 0.95);
+    load.number("period_s", out.load.period_s, 0.5, kDay);
+    load.number("clump_share", out.load.clump_share, 0, 0.9);
+    load.span("clump_s", out.load.clump_s, 0.01, 600);
+    load.span("body_bytes", out.load.body_bytes, 0, 65'536);
+    for (const toml::table* item : load.tables("burst")) {
+      Reader burst(*item, file, "load.burst");
+      BurstSpec spec;
+      burst.need("at_s");
+      burst.number("at_s", spec.at_s, 0, out.seconds);
+      burst.number("for_s", spec.for_s, 0.01, out.seconds);
+      burst.number("factor", spec.factor, 0, 1000);
+      burst.end();
+      out.load.bursts.push_back(spec);
+    }
+    load.end();
+  }
+  in.need("kind");
+  in.need("class");
+  for (const toml::table* item : in.tables("kind")) out.kinds.push_back(read_kind(*item, file));
+  for (const toml::table* item : in.tables("class"))
+    out.classes.push_back(read_class(*item, file, out.kinds));
+  if (out.kinds.empty()) in.wrong("kind", "at least one [[kind]]");
+  if (out.classes.empty()) in.wrong("class", "at least one [[class]]");
+  for (const toml::table* item : in.tables("event")) out.events.push_back(read_event(*item, file, out));
+  in.end();
+  std::stable_sort(out.events.begin(), out.events.end(),
+                   [](const EventSpec& a, const EventSpec& b) { return a.at_s < b.at_s; });
+  out.figures.max_attempts = out.max_attempts;
+  for (const ClassSpec& c : out.classes) {
+    out.figures.classes.push_back({c.name, c.effect, static_cast<Time>(c.key_window_s * 1e6)});
+  }
+  return out;
+}
+
+std::string targets(const EventSpec& event) {
+  std::ostringstream out;
+  if (!event.kind.empty()) out << " partners of kind " << event.kind;
+  if (!event.partner.empty()) out << " partner " << event.partner;
+  if (event.largest > 0) out << " the " << event.largest << " largest partner(s)";
+  if (event.share > 0) out << " partners with " << event.share * 100 << "% of the traffic";
+  if (event.relay >= 0) out << " relay " << event.relay;
+  return out.str();
+}
+
+}  // namespace
+
+const char* action_name(Action action) {
+  for (const auto& [name, value] : actions()) {
+    if (value == action) return name.c_str();
+  }
+  return "";
+}
+
+Scenario parse_scenario(const std::string& text, const std::string& name,
+                        const std::vector<std::string>& sets) {
+  toml::table root;
+  try {
+    root = toml::parse(text, name);
+  } catch (const toml::parse_error& error) {
+    throw ScenarioError(place(name, error.source()) + ": " + std::string(error.description()));
+  }
+  for (const std::string& set : sets) apply_set(root, set);
+  Scenario out = read(root, name);
+  if (out.name.empty()) out.name = std::filesystem::path(name).stem().string();
+  return out;
+}
+
+Scenario load_scenario(const std::string& file_or_name, const std::vector<std::string>& sets) {
+  for (const Shipped& shipped : shipped_scenarios()) {
+    if (shipped.name == file_or_name) return parse_scenario(shipped.text, shipped.name + ".toml", sets);
+  }
+  std::ifstream file(file_or_name, std::ios::binary);
+  if (!file || !std::filesystem::is_regular_file(file_or_name)) {
+    std::string known;
+    for (const Shipped& shipped : shipped_scenarios()) known += (known.empty() ? "" : ", ") + shipped.name;
+    throw ScenarioError(file_or_name + ": cannot be read; expected a file or one of " + known);
+  }
+  return parse_scenario({std::istreambuf_iterator<char>(file), {}}, file_or_name, sets);
+}
+
+std::string explain(const Scenario& s) {
+  std::ostringstream out;
+  out << s.name << ": " << s.title << "\n"
+      << s.relays << " relay(s), " << s.partners << " partners, " << s.load.rate << " messages/s for "
+      << s.seconds << " s, seed " << s.seed << "\n";
+  for (const KindSpec& k : s.kinds) {
+    out << "  kind " << k.name << ": " << k.share << " share(s), " << k.service_ms.low << " to "
+        << k.service_ms.high << " ms, limit "
+        << (k.limit == Limit::kNone   ? "none"
+            : k.limit == Limit::kRate ? "rate"
+                                      : "window")
+        << "\n";
+  }
+  for (const ClassSpec& c : s.classes) {
+    out << "  class " << c.name << ": " << c.share << " share(s), "
+        << (c.effect == Effect::kSafe    ? "safe"
+            : c.effect == Effect::kKeyed ? "keyed"
+                                         : "unsafe")
+        << ", given up at " << c.give_up_s << " s\n";
+  }
+  for (const EventSpec& e : s.events) {
+    out << "  at " << e.at_s << " s: " << action_name(e.action) << targets(e);
+    if (e.for_s > 0) out << " for " << e.for_s << " s";
+    if (e.amount > 0) out << ", amount " << e.amount;
+    out << "\n";
+  }
+  return out.str();
+}
+
+}  // namespace umberhoist::rehearsal
--- /dev/null
+++ b/standins/process.cpp
@@ -0,0 +1,104 @@
+#include "standins/process.h"
+
+#include <fcntl.h>
+#include <signal.h>
+#include <sys/prctl.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+#include <cerrno>
+#include <cstring>
+#include <fstream>
+#include <sstream>
+#include <stdexcept>
+
+namespace umberhoist::standins {
+
+Process::Process(std::string program, std::filesystem::path folder)
+    : program_(std::move(program)), folder_(std::move(folder)) {
+  std::filesystem::create_directories(state());
+}
+
+Process::~Process() {
+  if (child_ <= 0) return;
+  ::kill(child_, SIGKILL);
+  ::waitpid(child_, nullptr, 0);
+}
+
+void Process::configure(const std::string& json) {
+  std::ofstream(folder_ / "config.new", std::ios::binary) << json;
+  std::filesystem::rename(folder_ / "config.new", folder_ / "config.json");
+}
+
+void Process::start() {
+  const std::string config = folder_ / "config.json";
+  const std::string state_folder = state();
+  const std::string log = folder_ / "log";
+  const int out = ::open(log.c_str(), O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC, 0600);
+  if (out < 0) throw std::runtime_error("cannot open " + log + ": " + std::strerror(errno));
+  const pid_t parent = ::getpid();
+  child_ = ::fork();
+  if (child_ == 0) {  // only calls that are safe after a fork
+    ::prctl(PR_SET_PDEATHSIG, SIGKILL);
+    if (::getppid() != parent) ::_exit(127);
+    ::dup2(out, 1);
+    ::dup2(out, 2);
+    const int null = ::open("/dev/null", O_RDONLY);
+    ::dup2(null, 0);
+    sigset_t none;
+    ::sigemptyset(&none);
+    ::sigprocmask(SIG_SETMASK, &none, nullptr);
+    ::setpgid(0, 0);  // Ctrl-C is the kit's to pass on
+    ::setenv("PROXY_CONFIG", config.c_str(), 1);
+    ::setenv("PROXY_STATE", state_folder.c_str(), 1);
+    ::execl(program_.c_str(), program_.c_str(), nullptr);
+    ::_exit(127);
+  }
+  ::close(out);
+  if (child_ < 0) throw std::runtime_error(std::string("cannot fork: ") + std::strerror(errno));
+}
+
+void Process::signal(int number) {
+  if (child_ > 0) ::kill(child_, number);
+}
+
+bool Process::ended() {
+  if (child_ <= 0) return true;
+  if (::waitpid(child_, &status_, WNOHANG) != child_) return false;
+  child_ = -1;
+  return true;
+}
+
+Usage Process::usage() const {
+  Usage out;
+  if (child_ <= 0) return out;
+  const std::string proc = "/proc/" + std::to_string(child_);
+  std::ifstream stat(proc + "/stat");
+  std::string text;
+  std::getline(stat, text);
+  if (const size_t name = text.rfind(')'); name != std::string::npos) {
+    std::istringstream fields(text.substr(name + 2));
+    std::string skip;
+    long long user = 0, system = 0, pages = 0;
+    for (int i = 0; i < 11; ++i) fields >> skip;
+    fields >> user >> system;
+    for (int i = 0; i < 8; ++i) fields >> skip;
+    fields >> pages;
+    out.cpu = (user + system) * kSecond / ::sysconf(_SC_CLK_TCK);
+    out.memory = static_cast<size_t>(pages) * static_cast<size_t>(::sysconf(_SC_PAGESIZE));
+  }
+  std::error_code error;
+  for (std::filesystem::directory_iterator it(proc + "/fd", error), end; !error && it != end;
+       it.increment(error)) {
+    ++out.descriptors;
+  }
+  return out;
+}
+
+void Process::forget_state() {
+  std::error_code ignored;
+  std::filesystem::remove_all(state(), ignored);
+  std::filesystem::create_directories(state());
+}
+
+}  // namespace umberhoist::standins
