--- a/rehearsal/run.cpp
+++ b/rehearsal/run.cpp
@@ -115,7 +115,8 @@
     std::unique_ptr<standins::Process> process;
     std::unique_ptr<standins::Agent> agent;
     boost::asio::ip::tcp::endpoint address;
-    std::optional<boost::asio::ip::tcp::acceptor> door;  // bound and never listening: keeps the port for the relay
+    std::optional<boost::asio::ip::tcp::acceptor>
+        door;  // bound and never listening: keeps the port for the relay
     enum class State { kStarting, kUp, kStopping, kDown } state = State::kDown;
     Time state_since = 0;
     bool lost = false;
