Relays under rehearsal inherit none of the kit's sockets and keep their descriptor limit

The kit's sockets were inherited through fork and exec, so a connection that the kit closed stayed open in a relay, and the limit was the kit's own, raised one.

Change: the child closes all but its standard descriptors and sets RLIMIT_NOFILE to the scenario's sockets before it becomes the relay.

--- a/rehearsal/report.cpp
+++ b/rehearsal/report.cpp
@@ -1,6 +1,7 @@
 #include "rehearsal/report.h"
 
 #include <algorithm>
+#include <cmath>
 #include <cstdio>
 #include <fstream>
 #include <map>
@@ -118,9 +119,11 @@
     for (const double v : s.values) most = std::max(most, v);
   }
   if (most <= 0) most = 1;
-  double step = 1;  // a round grid of at most five lines
-  while (step * 5 < most) step *= 2;
-  while (step * 2.5 > most && step > 0.01) step /= 2;
+  double step = std::pow(10, std::floor(std::log10(most)) - 1);  // a round grid of at most six lines
+  for (const double factor : {2.0, 2.5, 2.0, 2.0, 2.5}) {
+    if (most <= 6 * step) break;
+    step *= factor;
+  }
   most = std::ceil(most / step) * step;
   const double width = kWidth - kLeft - kRight, height = kHeight - kTop - kBottom;
   const double span = static_cast<double>(count - 1);
--- a/rehearsal/run.cpp
+++ b/rehearsal/run.cpp
@@ -189,7 +189,7 @@
     for (size_t i = 0; i < relays_.size(); ++i) {
       Relay& relay = relays_[i];
       const auto folder = options_.folder / "relays" / ("n" + std::to_string(i));
-      relay.process = std::make_unique<standins::Process>(options_.relay, folder);
+      relay.process = std::make_unique<standins::Process>(options_.relay, folder, scenario_.sockets);
       relay.agent = std::make_unique<standins::Agent>(io_, static_cast<int>(i), witnesses_);
       relay.door.emplace(standins::bound_acceptor(io_));
       relay.address = relay.door->local_endpoint();
--- a/standins/process.cpp
+++ b/standins/process.cpp
@@ -3,6 +3,7 @@
 #include <fcntl.h>
 #include <signal.h>
 #include <sys/prctl.h>
+#include <sys/resource.h>
 #include <sys/wait.h>
 #include <unistd.h>
 
@@ -14,8 +15,8 @@
 
 namespace umberhoist::standins {
 
-Process::Process(std::string program, std::filesystem::path folder)
-    : program_(std::move(program)), folder_(std::move(folder)) {
+Process::Process(std::string program, std::filesystem::path folder, int descriptors)
+    : program_(std::move(program)), folder_(std::move(folder)), descriptors_(descriptors) {
   std::filesystem::create_directories(state());
 }
 
@@ -45,6 +46,10 @@
     ::dup2(out, 2);
     const int null = ::open("/dev/null", O_RDONLY);
     ::dup2(null, 0);
+    // None of the kit's sockets: a connection that it resets would stay open in the child.
+    ::close_range(3, ~0U, 0);
+    const rlimit limit{static_cast<rlim_t>(descriptors_), static_cast<rlim_t>(descriptors_)};
+    ::setrlimit(RLIMIT_NOFILE, &limit);
     sigset_t none;
     ::sigemptyset(&none);
     ::sigprocmask(SIG_SETMASK, &none, nullptr);
--- a/standins/process.h
+++ b/standins/process.h
@@ -19,8 +19,8 @@
 
 class Process {
  public:
-  // `folder` holds its configuration, its log and, in "state", what lasts.
-  Process(std::string program, std::filesystem::path folder);
+  // `folder` holds its configuration, its log and, in "state", what lasts. It may hold so many `descriptors`.
+  Process(std::string program, std::filesystem::path folder, int descriptors);
   ~Process();  // kills it
   Process(const Process&) = delete;
   Process& operator=(const Process&) = delete;
@@ -40,6 +40,7 @@
  private:
   std::string program_;
   std::filesystem::path folder_;
+  int descriptors_;
   pid_t child_ = -1;
   int status_ = 0;
 };
--- a/tests/rehearsal/standins_test.cpp
+++ b/tests/rehearsal/standins_test.cpp
@@ -1,15 +1,19 @@
 // The stand-ins on real sockets: what a silent, a refusing, a replaced and a draining machine looks like to a
 // caller.
 #include <gtest/gtest.h>
+#include <stdlib.h>
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/write.hpp>
+#include <filesystem>
+#include <fstream>
 #include <nlohmann/json.hpp>
 
 #include "standins/agent.h"
 #include "standins/endpoints.h"
 #include "standins/front.h"
+#include "standins/process.h"
 
 namespace umberhoist::standins {
 namespace {
@@ -338,6 +342,30 @@
   EXPECT_TRUE(w.until([&] { return w.ended; }));
 }
 
+// ---- A relay's process ----
+
+// It gets none of the kit's sockets, and no more descriptors than its limit.
+TEST(Standins, AProcessInheritsNoDescriptorAndKeepsItsLimit) {
+  World w;  // sockets that a child could inherit
+  std::string pattern = std::filesystem::temp_directory_path() / "umberhoist-process-XXXXXX";
+  const std::filesystem::path folder = ::mkdtemp(pattern.data());
+  const std::filesystem::path program = folder / "program";
+  std::ofstream(program) << "#!/bin/sh\nls /proc/self/fd | wc -l\nulimit -n\n";
+  std::filesystem::permissions(program, std::filesystem::perms::owner_all);
+  {
+    Process process(program, folder / "n0", 77);
+    process.start();
+    ASSERT_TRUE(w.until([&] { return process.ended(); }));
+  }
+  std::ifstream log(folder / "n0/log");
+  int descriptors = 0, limit = 0;
+  log >> descriptors >> limit;
+  EXPECT_GT(descriptors, 0);
+  EXPECT_LE(descriptors, 5);  // the standard ones and what ls opens itself
+  EXPECT_EQ(limit, 77);
+  std::filesystem::remove_all(folder);
+}
+
 // ---- Clients ----
 
 struct Relay {  // answers a request with the next of its lines; "" closes
