--- a/rehearsal/checker.cpp
+++ b/rehearsal/checker.cpp
@@ -195,7 +195,6 @@
   bool returned = false;
   int noticed_life = -1;
   int delivered_life = -1;
-  Time over_time = 0;  // when a late one was due at the latest
   std::vector<Attempt> attempts;
   std::vector<Moment> moments;
 
--- a/rehearsal/run.cpp
+++ b/rehearsal/run.cpp
@@ -103,8 +103,7 @@
     });
     build_world();
     for (size_t i = 0; i < relays_.size(); ++i) start_relay(static_cast<int>(i));
-    begun_ = steady_now();
-    expected_tick_ = begun_;
+    expected_tick_ = steady_now();
     tick();
     io_.run();
     return conclude();
@@ -729,7 +728,6 @@
   steady_timer ticker_;
   steady_timer arrival_timer_;
   boost::asio::signal_set signals_;
-  Time begun_ = 0;
   Time start_ = 0;  // of the load; 0: not yet
   Time ended_ = 0;
   Time expected_tick_ = 0;
