--- a/rehearsal/checker.cpp
+++ b/rehearsal/checker.cpp
@@ -78,6 +78,10 @@
       return "content";
     case Rule::kCrash:
       return "crash";
+    case Rule::kGrowth:
+      return "memory-growth";
+    case Rule::kExpectation:
+      return "expectation";
   }
   return "";
 }
@@ -617,7 +621,7 @@
   Relay& relay = relays_[number];
   const bool death = event == RelayEvent::kKilled || event == RelayEvent::kLost ||
                      event == RelayEvent::kEnded || event == RelayEvent::kCrashed;
-  if (event == RelayEvent::kCrashed) {
+  if (event == RelayEvent::kCrashed && !std::exchange(relay.over_limit, false)) {
     breach(Rule::kCrash, at, nullptr, number, -1, "its process ended by itself");
   }
   if (event == RelayEvent::kSigterm || death) relay.restarting = true;
@@ -647,6 +651,18 @@
   }
 }
 
+// The platform ends a relay over a limit, and counts a crash.
+void Checker::over_limit(Time at, int number, const std::string& what,
+                         const std::vector<std::string>& curve) {
+  relays_[number].over_limit = true;
+  breach(Rule::kCrash, at, nullptr, number, -1, "ended over a limit: " + what);
+  if (breach_count_ <= kMostBreaches) breaches_.back().history = curve;
+}
+
+void Checker::add_breach(Rule rule, Time at, int relay, std::string what) {
+  breach(rule, at, nullptr, relay, -1, std::move(what));
+}
+
 void Checker::advance(Time now) {
   while (!crossing_.empty() && crossing_.top().at <= now) {
     const uint64_t call = crossing_.top().id;
--- a/rehearsal/checker.h
+++ b/rehearsal/checker.h
@@ -61,7 +61,9 @@
   kAttempts,    // more than a message may have
   kEndpoint,    // a call to an endpoint of another destination, or for a message that is none
   kContent,     // body or key changed on the way
-  kCrash
+  kCrash,       // a process ended by itself, or was ended over a limit
+  kGrowth,      // its memory goes on growing
+  kExpectation  // of the scenario's own, such as a share that is delivered
 };
 
 int number_of(Rule rule);  // of the six, 0 for the others
@@ -99,6 +101,10 @@
   void outage_began(Time at, int destination) override;
   void outage_ended(Time at, int destination, double capacity) override;
   void relay_event(Time at, int relay, RelayEvent event) override;
+  void over_limit(Time at, int relay, const std::string& what,
+                  const std::vector<std::string>& curve) override;
+  // What is judged of a whole run, by others: growth and expectations.
+  void add_breach(Rule rule, Time at, int relay, std::string what);
 
   // The zero of the times in a breach's history.
   void begin(Time start) { start_ = start; }
@@ -131,6 +137,7 @@
 
   struct Relay {
     bool known_dead = false;
+    bool over_limit = false;  // it was ended for that: its end is no second breach
     bool restarting = false;  // from the signal until it is ready
     Time excused_until = 0;
     Time moved = 0;                                  // SIGHUP
--- a/rehearsal/plan.cpp
+++ b/rehearsal/plan.cpp
@@ -188,11 +188,12 @@
     out.at = at;
     out.lasts = micro(event.for_s);
     out.action = action;
-    if (action <= Action::kSpoil) out.partners = targets_of(s, plan, event, random);
+    if (action <= Action::kWithdraw) out.partners = targets_of(s, plan, event, random);
     out.relay = relay;
     out.amount = event.amount;
     out.wait_told = event.wait_told;
     out.same_address = event.same_address;
+    out.lingers = micro(event.linger_s);
     out.seed = random.bits();
     out.text = action_name(action);
     if (!event.kind.empty()) out.text += " " + event.kind;
--- a/rehearsal/plan.h
+++ b/rehearsal/plan.h
@@ -44,6 +44,7 @@
   double amount = 0;
   bool wait_told = false;
   bool same_address = true;
+  Time lingers = 0;
   uint64_t seed = 0;
   std::string text;  // for people
 };
--- a/rehearsal/relay_config.cpp
+++ b/rehearsal/relay_config.cpp
@@ -66,7 +66,10 @@
           {"discovery", discovery},
           {"seed", hex_seed},
           {"limits",
-           {{"cores", 1.0}, {"memory_mb", s.memory_mb}, {"sockets", s.sockets}, {"disk_mb", s.disk_mb}}},
+           {{"cores", s.cores > 0 ? s.cores : 1.0},
+            {"memory_mb", s.memory_mb},
+            {"sockets", s.sockets},
+            {"disk_mb", s.disk_mb}}},
           {"known", json::parse(known)},
           {"settings", settings}};
 }
--- a/rehearsal/report.cpp
+++ b/rehearsal/report.cpp
@@ -68,6 +68,33 @@
   return out;
 }
 
+// The most that any relay used, beside what it may. Bytes in MB of a million: the stricter reading.
+struct Most {
+  double memory = 0, disk = 0, busiest = 0;
+  int descriptors = 0, sockets = 0;
+};
+
+Most most_used(const Outcome& o) {
+  Most out;
+  for (const RelayUse& use : o.use) {
+    out.memory = std::max(out.memory, static_cast<double>(use.memory) / 1e6);
+    out.disk = std::max(out.disk, static_cast<double>(use.highest.disk) / 1e6);
+    out.descriptors = std::max(out.descriptors, use.highest.descriptors);
+    out.sockets = std::max(out.sockets, use.highest.sockets);
+    out.busiest = std::max(out.busiest, use.busiest);
+  }
+  return out;
+}
+
+std::string limits_table(const Scenario& s, const Outcome& o) {
+  const Most most = most_used(o);
+  return text(
+      "the most of one relay: %.1f of %d MB memory, %.3f of %.3f MB disk, %d of %d descriptors, %d sockets, "
+      "%.0f%% of a core%s\n",
+      most.memory, s.memory_mb, most.disk, s.disk_mb, most.descriptors, s.sockets, most.sockets,
+      100 * most.busiest, s.cores > 0 ? text(" of %.0f%%", 100 * s.cores).c_str() : "");
+}
+
 // ---- HTML ----
 
 std::string escape(const std::string& in) {
@@ -195,17 +222,19 @@
               {{"median", per_second(o, [](const Second& x) { return x.latency.quantile(0.5); })},
                {"90%", per_second(o, [](const Second& x) { return x.latency.quantile(0.9); })},
                {"99%", per_second(o, [](const Second& x) { return x.latency.quantile(0.99); })}});
-  std::vector<Series> cpu, memory, descriptors;
+  std::vector<Series> cpu, memory, descriptors, disk;
   for (size_t r = 0; r < static_cast<size_t>(s.relays) && r < 8; ++r) {
     const std::string name = "relay " + std::to_string(r);
     cpu.push_back({name, per_sample(o, [r](const Sample& x) { return double(x.relays[r].cpu) / 1e4; })});
     memory.push_back(
         {name, per_sample(o, [r](const Sample& x) { return double(x.relays[r].memory) / 1e6; })});
+    disk.push_back({name, per_sample(o, [r](const Sample& x) { return double(x.relays[r].disk) / 1e6; })});
     descriptors.push_back(
         {name, per_sample(o, [r](const Sample& x) { return double(x.relays[r].descriptors); })});
   }
   out += plot(o, "Relay CPU", "percent of a core", cpu);
-  out += plot(o, "Relay memory", "MB resident", memory);
+  out += plot(o, "Relay memory", "MB: resident in all its processes, and temporary files", memory);
+  out += plot(o, "State folder", "MB, each file in whole 512 bytes", disk);
   out += plot(o, "Relay descriptors", "open", descriptors);
   return out;
 }
@@ -247,6 +276,7 @@
       worth_share(s, o), static_cast<double>(o.attempts) / messages,
       static_cast<double>(o.handings) / messages, static_cast<double>(relay_cpu(o)) / messages,
       static_cast<double>(o.lateness.kit_cpu) / messages);
+  out << limits_table(s, o);
   out << text("the kit's own lateness: p50 %.2f ms, p99 %.2f ms, longest stall %.1f ms\n",
               o.lateness.sends.quantile(0.5), o.lateness.sends.quantile(0.99),
               static_cast<double>(o.lateness.longest_stall) / 1e3);
@@ -291,6 +321,27 @@
                 {"longest_stall_ms", static_cast<double>(o.lateness.longest_stall) / 1e3},
                 {"stalls", o.lateness.stalls},
                 {"suspended_ms", static_cast<double>(o.lateness.suspended) / 1e3}};
+  out["limits"] = {
+      {"memory_mb", s.memory_mb}, {"disk_mb", s.disk_mb}, {"sockets", s.sockets}, {"cores", s.cores}};
+  out["used"] = json::array();
+  for (const RelayUse& use : o.use) {
+    json one = {{"memory_mb", static_cast<double>(use.memory) / 1e6},
+                {"temporary_mb", static_cast<double>(use.highest.temporary) / 1e6},
+                {"disk_mb", static_cast<double>(use.highest.disk) / 1e6},
+                {"files", use.highest.files},
+                {"descriptors", use.highest.descriptors},
+                {"sockets", use.highest.sockets},
+                {"processes", use.highest.processes},
+                {"cpu_ms", static_cast<double>(use.cpu) / 1e3},
+                {"busiest_second", use.busiest}};
+    if (use.growth.judged) {
+      one["growth"] = {{"mb_a_minute", use.growth.mb_a_minute},
+                       {"mb", use.growth.mb},
+                       {"rises", use.growth.rises},
+                       {"leak", use.growth.leak}};
+    }
+    out["used"].push_back(std::move(one));
+  }
   out["by_rule"] = by_rule(o);
   out["classes"] = json::array();
   for (const ClassTally& t : o.tallies) {
@@ -345,6 +396,8 @@
       relays.push_back({{"running", r.running},
                         {"cpu_ms", static_cast<double>(r.cpu) / 1e3},
                         {"memory_mb", static_cast<double>(r.memory) / 1e6},
+                        {"disk_mb", static_cast<double>(r.disk) / 1e6},
+                        {"sockets", r.sockets},
                         {"descriptors", r.descriptors}});
     }
     out["samples"].push_back(
@@ -393,7 +446,22 @@
       "</table><h2>Over time</h2><p class=\"legend\">Shaded: what the script did; point at it for its "
       "name.</p>" +
       plots(s, o);
-  out += "<h2>Script</h2><table><tr><th>what<th>at<th>for</tr>";
+  out +=
+      "<h2>Limits</h2><p>The most of each relay, as the platform counts.</p><table><tr><th>relay<th>memory "
+      "MB<th>state MB<th>files<th>descriptors<th>sockets<th>processes<th>busiest second, of a core<th>growth "
+      "MB a "
+      "minute</tr>";
+  for (size_t i = 0; i < o.use.size(); ++i) {
+    const RelayUse& use = o.use[i];
+    out +=
+        text("<tr><td>%zu<td>%.1f of %d<td>%.3f of %.3f<td>%zu<td>%d of %d<td>%d of %d<td>%d<td>%.0f%%<td>",
+             i, static_cast<double>(use.memory) / 1e6, s.memory_mb,
+             static_cast<double>(use.highest.disk) / 1e6, s.disk_mb, use.highest.files,
+             use.highest.descriptors, s.sockets, use.highest.sockets, s.sockets, use.highest.processes,
+             100 * use.busiest) +
+        (use.growth.judged ? text("%.2f", use.growth.mb_a_minute) : "run too short") + "</tr>";
+  }
+  out += "</table><h2>Script</h2><table><tr><th>what<th>at<th>for</tr>";
   for (const EventPlan& e : o.events) {
     out += "<tr><td>" + escape(e.text) +
            text("<td>%.1f s<td>%.1f s</tr>", static_cast<double>(e.at) / 1e6,
--- a/rehearsal/run.cpp
+++ b/rehearsal/run.cpp
@@ -15,6 +15,7 @@
 #include <memory>
 #include <set>
 
+#include "limits/meter.h"
 #include "rehearsal/random.h"
 #include "rehearsal/relay_config.h"
 #include "standins/agent.h"
@@ -36,6 +37,9 @@
 constexpr Time kMostStall = 500 * kMillisecond;  // past these the run says nothing
 constexpr Time kMostSendLateness = 100 * kMillisecond;
 constexpr Time kMostSuspended = 200 * kMillisecond;
+constexpr Time kMeasureEvery = 20 * kMillisecond;  // what a relay uses
+constexpr int kMostCrashes = 5;                    // of one relay: what it does over and over says no more
+constexpr Time kEndWithin = 60 * kSecond;  // past the last message's time, and what is still owed then
 constexpr Time kStartWithin = 30 * kSecond;
 constexpr Time kPingEvery = 20 * kMillisecond;
 constexpr Time kSettle = 500 * kMillisecond;      // after the last end, for what should not come
@@ -97,6 +101,7 @@
   }
 
   Outcome run() {
+    limits::adopt_orphans();
     raise_descriptors();
     signals_.async_wait([this](const Error& error, int) {
       if (!error) interrupt();
@@ -122,6 +127,14 @@
     bool expected = false;  // its end was asked for
     Time cpu_before = 0;
     int starts = 0;
+    int crashes = 0;
+    std::string first_known;             // the list that its configuration holds
+    std::optional<limits::Meter> meter;  // of the present process
+    std::optional<limits::Judge> judge;
+    limits::Quota quota{0};
+    bool stands = false;  // it has had its share of the core for now
+    Time measured = 0;
+    RelayUse use;
   };
 
   void after(Time wait, std::function<void()> what) { at(steady_now() + wait, std::move(what)); }
@@ -189,6 +202,12 @@
       Relay& relay = relays_[i];
       const auto folder = options_.folder / "relays" / ("n" + std::to_string(i));
       relay.process = std::make_unique<standins::Process>(options_.relay, folder, scenario_.sockets);
+      limits::Limits most;
+      most.memory = static_cast<size_t>(scenario_.memory_mb) * 1'000'000;
+      most.disk = static_cast<size_t>(scenario_.disk_mb * 1e6);
+      most.descriptors = most.sockets = scenario_.sockets;
+      relay.judge.emplace(most);
+      relay.quota = limits::Quota(scenario_.cores);
       relay.agent = std::make_unique<standins::Agent>(io_, static_cast<int>(i), witnesses_);
       relay.door.emplace(standins::bound_acceptor(io_));
       relay.address = relay.door->local_endpoint();
@@ -256,12 +275,17 @@
   void start_relay(int i) {
     Relay& r = relay(i);
     const std::string listen = "127.0.0.1:" + std::to_string(r.address.port());
+    if (r.first_known.empty() || !scenario_.known_at_first) r.first_known = r.agent->whole_list();
     r.process->configure(
         relay_config(scenario_, plan_, i,
                      options_.seed * 1000 + static_cast<uint64_t>(i) * 31 + static_cast<uint64_t>(++r.starts),
-                     listen, r.agent->address(), r.agent->whole_list())
+                     listen, r.agent->address(), r.first_known)
             .dump());
     r.process->start();
+    r.meter.emplace(r.process->pid(), r.process->state(), r.process->temporary());
+    r.judge->started(steady_now());
+    r.quota = limits::Quota(scenario_.cores);
+    r.stands = false;
     r.state = Relay::State::kStarting;
     r.state_since = steady_now();
     r.expected = false;
@@ -294,6 +318,7 @@
     const bool crashed = !r.expected;
     const bool clean = WIFEXITED(r.process->status()) && WEXITSTATUS(r.process->status()) == 0;
     r.state = Relay::State::kDown;
+    r.meter->signal(SIGKILL);  // what it left behind goes with it
     const bool terminated_badly =
         r.expected && !r.lost && stopped_by_term_.erase(i) > 0 && !clean && !killed_.contains(i);
     killed_.erase(i);
@@ -305,6 +330,11 @@
     if (stopping_) return;
     if (start_ == 0)
       return stop("relay " + std::to_string(i) + " ended before it was ready; see its log", true);
+    if ((crashed || terminated_badly) && ++r.crashes >= kMostCrashes) {
+      return stop("relay " + std::to_string(i) + " crashed " + std::to_string(r.crashes) +
+                      " times, and the run was ended",
+                  false);
+    }
     const Time notice =
         static_cast<Time>(random_.between(scenario_.notice_s.low, scenario_.notice_s.high) * 1e6);
     after(notice, [this, i, starts = r.starts] {
@@ -323,7 +353,7 @@
     r.lost = lose;
     killed_.insert(i);
     witnesses_.relay_event(steady_now(), i, RelayEvent::kKilled);
-    r.process->signal(SIGKILL);
+    r.meter->signal(SIGKILL);
   }
 
   void terminate_relay(int i) {
@@ -341,7 +371,7 @@
       Relay& mine = relay(i);
       if (mine.starts != starts || mine.state != Relay::State::kStopping) return;
       killed_.insert(i);
-      mine.process->signal(SIGKILL);
+      mine.meter->signal(SIGKILL);
     });
   }
 
@@ -455,6 +485,18 @@
                                                             event.amount > 0 ? event.amount : 100,
                                                             steady_now() + event.lasts));
         return;
+      case Action::kHold:
+        for (const int p : event.partners) endpoints_->hold_connections(p, true);
+        return after(event.lasts, [this, partners = event.partners] {
+          for (const int p : partners) endpoints_->hold_connections(p, false);
+        });
+      case Action::kWithdraw:
+        return withdraw(event);
+      case Action::kNotices:
+        for (Relay& r : relays_) r.agent->hold_notices(true);
+        return after(event.lasts, [this] {
+          for (Relay& r : relays_) r.agent->hold_notices(false);
+        });
       case Action::kKill:
         return kill_relay(event.relay, false);
       case Action::kLose:
@@ -500,11 +542,13 @@
       const Time start = event.lasts * static_cast<Time>(i) / static_cast<Time>(victims.size());
       const Time drains = static_cast<Time>(random.between(kDrainLasts.low, kDrainLasts.high) * 1e6);
       const bool in_place = event.same_address && random.chance(0.34);
-      after(start, [this, number = victims[i], drains, in_place] { replace_one(number, drains, in_place); });
+      after(start, [this, number = victims[i], drains, in_place, lingers = event.lingers] {
+        replace_one(number, drains, in_place, in_place ? 0 : lingers);
+      });
     }
   }
 
-  void replace_one(int number, Time drains, bool in_place) {
+  void replace_one(int number, Time drains, bool in_place, Time lingers) {
     if (stopping_) return;
     const int destination = list_[number].cell;
     list_[number].phase = Phase::kLeaving;
@@ -512,9 +556,10 @@
     if (!in_place) changed.push_back(open_endpoint(destination, {}));
     tell(changed, false);
     after(drains / 2, [this, number] { endpoints_->drain(number); });
-    after(drains, [this, number, destination, in_place] {
+    after(drains, [this, number, destination, in_place, lingers] {
       if (stopping_) return;
-      endpoints_->close(number);
+      if (lingers == 0) endpoints_->close(number);
+      if (lingers > 0) after(lingers, [this, number] { endpoints_->close(number); });
       list_[number].phase = Phase::kLeft;
       tell({number}, false);
       if (!in_place) return;
@@ -524,6 +569,24 @@
     });
   }
 
+  void withdraw(const EventPlan& event) {
+    for (const int p : event.partners) {
+      std::vector<int> changed;
+      for (auto& [number, entry] : list_) {
+        if (entry.cell != p || entry.phase == Phase::kLeft) continue;
+        entry.phase = Phase::kLeft;
+        endpoints_->close(number);
+        changed.push_back(number);
+      }
+      tell(changed, false);
+      after(event.lasts, [this, p, count = changed.size()] {
+        std::vector<int> fresh;
+        for (size_t i = 0; i < count; ++i) fresh.push_back(open_endpoint(p, {}));
+        if (!stopping_) tell(fresh, false);
+      });
+    }
+  }
+
   void note(std::string text) {
     char at[32];
     std::snprintf(at, sizeof at, "%.1f s: ", static_cast<double>(steady_now() - start_) / 1e6);
@@ -545,6 +608,7 @@
     for (size_t i = 0; i < relays_.size(); ++i) {
       if (relays_[i].state != Relay::State::kDown && relays_[i].process->ended()) died(static_cast<int>(i));
     }
+    for (size_t i = 0; i < relays_.size(); ++i) measure(static_cast<int>(i));
     if (start_ != 0) {
       checker_.advance(now);
       while (now >= next_sample_ && !stopping_) sample();
@@ -558,6 +622,26 @@
     });
   }
 
+  // Holds a relay to the platform's limits: over one it is ended, and that is a crash.
+  void measure(int i) {
+    Relay& r = relay(i);
+    if (r.state == Relay::State::kDown) return;
+    const Time now = steady_now();
+    if (r.quota.bound()) {
+      if (const bool stands = r.quota.stands(now, r.meter->cpu()); stands != r.stands) {
+        r.stands = stands;
+        r.meter->signal(stands ? SIGSTOP : SIGCONT);
+      }
+    }
+    if (now - r.measured < kMeasureEvery) return;
+    r.measured = now;
+    const auto exceeded = r.judge->see(now, r.meter->sample(now));
+    if (!exceeded) return;
+    r.expected = false;  // also if it was to end anyway
+    if (!stopping_) witnesses_.over_limit(now, i, exceeded->what, exceeded->curve);
+    r.meter->signal(SIGKILL);
+  }
+
   void sample() {
     next_sample_ += kSecond;
     Sample s;
@@ -567,13 +651,17 @@
     s.connections = front_->connections() + endpoints_->connections();
     for (Relay& r : relays_) {
       RelaySample one;
+      const limits::Usage most = r.judge->take_window();
       if (r.state != Relay::State::kDown) {
-        const standins::Usage usage = r.process->usage();
         one.running = true;
-        one.memory = usage.memory;
-        one.descriptors = usage.descriptors;
-        one.cpu = std::max<Time>(0, usage.cpu - r.cpu_before);
-        r.cpu_before = usage.cpu;
+        one.memory = most.resident + most.temporary;
+        one.disk = most.disk;
+        one.descriptors = most.descriptors;
+        one.sockets = most.sockets;
+        one.cpu = std::max<Time>(0, most.cpu - r.cpu_before);
+        r.cpu_before = std::max(r.cpu_before, most.cpu);
+        r.use.cpu += one.cpu;
+        r.use.busiest = std::max(r.use.busiest, static_cast<double>(one.cpu) / 1e6);
       }
       s.relays.push_back(one);
     }
@@ -614,6 +702,11 @@
     }
     const bool up = std::all_of(relays_.begin(), relays_.end(),
                                 [](const Relay& r) { return r.state == Relay::State::kUp; });
+    double longest = 0;
+    for (const ClassSpec& c : scenario_.classes) longest = std::max(longest, c.give_up_s);
+    if (now > start_ + static_cast<Time>((scenario_.seconds + longest) * 1e6) + kEndWithin) {
+      return stop("something was open a minute after the last message's time", false);
+    }
     if (ledger_.open() > 0 || checker_.owed() > 0 || !up) {
       quiet_since_ = 0;
       return;
@@ -634,7 +727,10 @@
     failed_to_start_ = failed;
     why_ = why;
     ended_ = steady_now();
-    if (start_ != 0) checker_.finish(ended_);
+    if (start_ != 0) {
+      checker_.finish(ended_);
+      judge_run();
+    }
     arrival_timer_.cancel();
     crowds_.clear();
     for (size_t i = 0; i < relays_.size(); ++i) {
@@ -647,12 +743,62 @@
       for (size_t i = 0; i < relays_.size(); ++i) {
         if (relays_[i].state == Relay::State::kDown) continue;
         killed_.insert(static_cast<int>(i));
-        relays_[i].process->signal(SIGKILL);
+        relays_[i].meter->signal(SIGKILL);
       }
     });
     if (start_ == 0) start_ = ended_;  // so that its end is watched for
   }
 
+  // What only a whole run tells.
+  void judge_run() {
+    for (size_t i = 0; i < relays_.size(); ++i) {
+      Relay& r = relays_[i];
+      r.use.growth = r.judge->growth();
+      const limits::Growth& growth = r.use.growth;
+      if (!growth.leak) continue;
+      char text[240];
+      std::snprintf(
+          text, sizeof text,
+          "its memory grows by %.1f MB a minute through the second half of its life, %.1f MB in all; the "
+          "least that it held rose in %d of %d steps",
+          growth.mb_a_minute, growth.mb, growth.rises, growth.parts - 1);
+      checker_.add_breach(Rule::kGrowth, ended_, static_cast<int>(i), text);
+    }
+    if (interrupted_) return;
+    for (const ExpectSpec& expect : scenario_.expects) judge_expectation(expect);
+  }
+
+  void judge_expectation(const ExpectSpec& expect) {
+    double asked = 0, in_time = 0, delivered = 0, failed = 0, refused = 0;
+    for (const ClassTally& t : ledger_.tallies()) {
+      if (!expect.of_class.empty() && t.name != expect.of_class) continue;
+      asked += static_cast<double>(t.asked);
+      in_time += static_cast<double>(t.in_time);
+      delivered += static_cast<double>(t.in_time + t.late);
+      failed += static_cast<double>(t.failed);
+      refused += static_cast<double>(t.refused);
+    }
+    if (asked == 0) return;
+    const auto missed = [&](const char* what, double share, const char* bound, double wanted) {
+      char text[200];
+      std::snprintf(text, sizeof text, "%s: %.2f%% %s, expected %s %.2f%%", expect.where.c_str(), 100 * share,
+                    what, bound, 100 * wanted);
+      checker_.add_breach(Rule::kExpectation, ended_, -1, text);
+    };
+    if (in_time / asked < expect.in_time) missed("in time", in_time / asked, "at least", expect.in_time);
+    if (delivered / asked < expect.delivered)
+      missed("delivered", delivered / asked, "at least", expect.delivered);
+    if (failed / asked > expect.failed) missed("failed", failed / asked, "at most", expect.failed);
+    if (refused / asked > expect.refused) missed("refused", refused / asked, "at most", expect.refused);
+    const double attempts = static_cast<double>(ledger_.attempts()) /
+                            static_cast<double>(std::max<uint64_t>(1, ledger_.messages()));
+    if (expect.attempts <= 0 || attempts <= expect.attempts) return;
+    char text[200];
+    std::snprintf(text, sizeof text, "%s: %.2f attempts a message, expected at most %.2f",
+                  expect.where.c_str(), attempts, expect.attempts);
+    checker_.add_breach(Rule::kExpectation, ended_, -1, text);
+  }
+
   Outcome conclude() {
     Outcome out;
     out.digest = plan_.digest;
@@ -663,6 +809,11 @@
     out.tallies = ledger_.tallies();
     out.by_second = ledger_.seconds();
     out.samples = std::move(samples_);
+    for (Relay& r : relays_) {
+      r.use.highest = r.judge->highest();
+      r.use.memory = r.judge->highest_memory();
+      out.use.push_back(r.use);
+    }
     out.events = plan_.events;
     out.notes = std::move(notes_);
     out.messages = ledger_.messages();
@@ -684,7 +835,7 @@
       const bool doubt = std::any_of(stalls_.begin(), stalls_.end(), [&](const auto& stall) {
         return breach.at >= stall.first - kDoubtAfter && breach.at <= stall.second + kDoubtBefore;
       });
-      out.doubtful.push_back(doubt && breach.rule != Rule::kCrash);
+      out.doubtful.push_back(doubt && breach.rule < Rule::kCrash);
       sure |= !out.doubtful.back();
     }
     const double late = out.lateness.sends.quantile(0.99);
@@ -700,7 +851,7 @@
     } else if (!sure && !out.breaches.empty()) {
       std::snprintf(text, sizeof text, "each breach lies beside a moment when the kit itself ran late");
     }
-    out.why = text;
+    out.why = why_.empty() || interrupted_ ? text : why_ + (*text == '\0' ? "" : std::string("; ") + text);
     const bool slept = out.lateness.suspended > kMostSuspended;
     out.result = sure && !slept ? Result::kBroken : *text != '\0' ? Result::kInconclusive : Result::kKept;
     if (interrupted_) out.why = "interrupted" + (out.why.empty() ? "" : "; " + out.why);
--- a/rehearsal/run.h
+++ b/rehearsal/run.h
@@ -5,6 +5,7 @@
 #include <string>
 #include <vector>
 
+#include "limits/judge.h"
 #include "rehearsal/checker.h"
 #include "rehearsal/ledger.h"
 #include "rehearsal/plan.h"
@@ -18,13 +19,23 @@
   uint64_t seed = 1;
 };
 
-struct RelaySample {
-  Time cpu = 0;  // since the sample before
-  size_t memory = 0;
+struct RelaySample {  // the most of each within the second, over all its processes
+  Time cpu = 0;       // since the sample before
+  size_t memory = 0;  // resident, and files in its temporary folder
+  size_t disk = 0;    // of its state folder, in whole 512 bytes a file
   int descriptors = 0;
+  int sockets = 0;
   bool running = false;
 };
 
+struct RelayUse {  // over the whole run
+  limits::Usage highest;
+  size_t memory = 0;  // the most, as it is judged
+  Time cpu = 0;
+  double busiest = 0;  // share of a core, in its busiest second
+  limits::Growth growth;
+};
+
 struct Sample {     // one each second
   size_t open = 0;  // messages with their clients or held
   size_t held = 0;  // taken on and not over
@@ -56,6 +67,7 @@
   std::vector<ClassTally> tallies;
   std::vector<Second> by_second;
   std::vector<Sample> samples;
+  std::vector<RelayUse> use;  // by relay
   std::vector<EventPlan> events;
   std::vector<std::string> notes;  // what the script could not do
   uint64_t messages = 0;
--- a/rehearsal/scenario.cpp
+++ b/rehearsal/scenario.cpp
@@ -15,15 +15,13 @@
 
 const std::map<std::string, Action, std::less<>>& actions() {
   static const std::map<std::string, Action, std::less<>> all = {
-      {"silent", Action::kSilent},     {"hang", Action::kHang},
-      {"shut", Action::kShut},         {"refuse", Action::kRefuse},
-      {"fail", Action::kFail},         {"slow", Action::kSlow},
-      {"reset", Action::kReset},       {"spoil", Action::kSpoil},
-      {"replace", Action::kReplace},   {"lag", Action::kLag},
-      {"blackout", Action::kBlackout}, {"crowd", Action::kCrowd},
-      {"kill", Action::kKill},         {"terminate", Action::kTerminate},
-      {"rolling", Action::kRolling},   {"move", Action::kMove},
-      {"lose", Action::kLose}};
+      {"silent", Action::kSilent},   {"hang", Action::kHang},           {"shut", Action::kShut},
+      {"refuse", Action::kRefuse},   {"fail", Action::kFail},           {"slow", Action::kSlow},
+      {"reset", Action::kReset},     {"spoil", Action::kSpoil},         {"replace", Action::kReplace},
+      {"lag", Action::kLag},         {"blackout", Action::kBlackout},   {"crowd", Action::kCrowd},
+      {"kill", Action::kKill},       {"terminate", Action::kTerminate}, {"rolling", Action::kRolling},
+      {"move", Action::kMove},       {"lose", Action::kLose},           {"hold", Action::kHold},
+      {"notices", Action::kNotices}, {"withdraw", Action::kWithdraw}};
   return all;
 }
 
@@ -191,6 +189,8 @@
 const std::map<std::string, Limit, std::less<>> kLimits = {
     {"none", Limit::kNone}, {"rate", Limit::kRate}, {"window", Limit::kWindow}};
 
+const std::map<std::string, bool, std::less<>> kKnown = {{"first", true}, {"now", false}};
+
 constexpr double kDay = 86'400;
 
 KindSpec read_kind(const toml::table& table, const std::string& file) {
@@ -257,12 +257,13 @@
   in.number("amount", out.amount, 0, 1e6);
   in.flag("wait_told", out.wait_told);
   in.flag("same_address", out.same_address);
+  in.number("linger_s", out.linger_s, 0, kDay);
   in.end();
   const auto kind_known = [&](const KindSpec& k) { return k.name == out.kind; };
   if (!out.kind.empty() && std::none_of(scenario.kinds.begin(), scenario.kinds.end(), kind_known)) {
     in.wrong("kind", "the name of a [[kind]] table");
   }
-  const bool of_partners = out.action <= Action::kSpoil;
+  const bool of_partners = out.action <= Action::kWithdraw;
   const int targets = !out.kind.empty() + !out.partner.empty() + (out.largest > 0) + (out.share > 0);
   if (of_partners && targets == 0) {
     throw ScenarioError(out.where + ": [event] '" + action_name(out.action) +
@@ -285,6 +286,30 @@
   return out;
 }
 
+ExpectSpec read_expect(const toml::table& table, const std::string& file, const Scenario& scenario) {
+  Reader in(table, file, "expect");
+  ExpectSpec out;
+  out.where = in.where();
+  in.text("class", out.of_class);
+  in.number("delivered", out.delivered, 0, 1);
+  in.number("in_time", out.in_time, 0, 1);
+  in.number("failed", out.failed, 0, 1);
+  in.number("refused", out.refused, 0, 1);
+  in.number("attempts", out.attempts, 0, 1000);
+  in.end();
+  const auto known = [&](const ClassSpec& c) { return c.name == out.of_class; };
+  if (!out.of_class.empty() && std::none_of(scenario.classes.begin(), scenario.classes.end(), known)) {
+    in.wrong("class", "the name of a [[class]] table");
+  }
+  if (!in.has("delivered") && !in.has("in_time") && !in.has("failed") && !in.has("refused") &&
+      !in.has("attempts")) {
+    throw ScenarioError(
+        out.where +
+        ": [expect] asks for nothing; expected one of delivered, in_time, failed, refused or attempts");
+  }
+  return out;
+}
+
 // "a.b=value": the value as TOML, or as a string where it is none.
 void apply_set(toml::table& root, const std::string& set) {
   const size_t equals = set.find('=');
@@ -324,6 +349,7 @@
     relays.integer("sockets", out.sockets, 64, 1'000'000);
     relays.integer("memory_mb", out.memory_mb, 1, 1'000'000);
     relays.number("disk_mb", out.disk_mb, 0.001, 100'000);
+    relays.number("cores", out.cores, 0, 64);
     relays.number("slots_room", out.slots_room, 0.1, 100);
     relays.integer("least_slots", out.least_slots, 1, 100'000);
     relays.number("hold_s", out.hold_s, 0.01, 3600);
@@ -345,6 +371,7 @@
   if (const auto* table = in.table("discovery")) {
     Reader discovery(*table, file, "discovery");
     discovery.span("lag_s", out.lag_s, 0, 3600);
+    discovery.one_of("known", kKnown, out.known_at_first);
     discovery.end();
   }
   if (const auto* table = in.table("clients")) {
@@ -398,6 +425,7 @@
   if (out.kinds.empty()) in.wrong("kind", "at least one [[kind]]");
   if (out.classes.empty()) in.wrong("class", "at least one [[class]]");
   for (const toml::table* item : in.tables("event")) out.events.push_back(read_event(*item, file, out));
+  for (const toml::table* item : in.tables("expect")) out.expects.push_back(read_expect(*item, file, out));
   in.end();
   std::stable_sort(out.events.begin(), out.events.end(),
                    [](const EventSpec& a, const EventSpec& b) { return a.at_s < b.at_s; });
@@ -480,6 +508,15 @@
     if (e.amount > 0) out << ", amount " << e.amount;
     out << "\n";
   }
+  for (const ExpectSpec& e : s.expects) {
+    out << "  expected of " << (e.of_class.empty() ? "all classes" : e.of_class) << ":";
+    if (e.delivered > 0) out << " delivered " << 100 * e.delivered << "% or more";
+    if (e.in_time > 0) out << " in time " << 100 * e.in_time << "% or more";
+    if (e.failed < 1) out << " failed " << 100 * e.failed << "% or less";
+    if (e.refused < 1) out << " refused " << 100 * e.refused << "% or less";
+    if (e.attempts > 0) out << " " << e.attempts << " attempts a message or less";
+    out << "\n";
+  }
   return out.str();
 }
 
--- a/rehearsal/scenario.h
+++ b/rehearsal/scenario.h
@@ -81,6 +81,8 @@
   kSlow,       // by a factor
   kReset,      // a share of the calls is broken off after they were read
   kSpoil,      // a share of the answers is unreadable
+  kHold,       // new connections come up late; open ones go on
+  kWithdraw,   // none of a partner's endpoints is in the list; new ones when it ends
   kReplace,    // a share of all endpoints is drained and replaced by new ones
   kLag,        // discovery runs further behind
   kBlackout,   // discovery is silent
@@ -89,6 +91,7 @@
   kTerminate,  // relay: SIGTERM, and SIGKILL if it takes too long, and a start
   kRolling,    // all relays, one after the other, by SIGTERM
   kMove,       // discovery moves, SIGHUP
+  kNotices,    // notices are read, and answered only when this ends
   kLose        // relay: SIGKILL, its folder is gone, and a start
 };
 
@@ -103,10 +106,22 @@
   int relay = -1;       // -1: drawn
   double amount = 0;    // the share or factor of the action
   bool wait_told = false;
+  double linger_s = 0;       // replacing: one that has left the list is still reachable for so long
   bool same_address = true;  // replacing: some newcomers come up where one has gone
   std::string where;         // file:line:column
 };
 
+// What a scenario asks of the outcome beside the rules, for what is lost in worth and not in a rule.
+struct ExpectSpec {
+  std::string of_class;  // empty: all
+  double delivered = 0;  // at least this share of what was asked
+  double in_time = 0;    // and of these, at least
+  double failed = 1;     // at most
+  double refused = 1;    // for good, at most
+  double attempts = 0;   // for each message at most, over all classes; 0: any
+  std::string where;
+};
+
 struct Scenario {
   std::string name;
   std::string title;
@@ -117,6 +132,7 @@
   int sockets = 1024;
   int memory_mb = 192;
   double disk_mb = 3;
+  double cores = 0;         // of a core that it gets; 0: as much as there is
   double slots_room = 2.2;  // calls out at once, over what full load keeps busy
   int least_slots = 4;
   double hold_s = 8;  // of full load that a relay may hold
@@ -127,7 +143,9 @@
   double zipf = 0.8;
   int zones = 2;
   Span lag_s{1.4, 4.9};  // of discovery
-  double idle_s = 10;    // an endpoint closes an idle connection
+  bool known_at_first =
+      false;           // each start is given the list as it was at the first; else as its agent has it
+  double idle_s = 10;  // an endpoint closes an idle connection
   double connect_timeout_s = 1;
   // clients
   int retries = 2;
@@ -142,6 +160,7 @@
   std::vector<KindSpec> kinds;
   std::vector<ClassSpec> classes;
   std::vector<EventSpec> events;
+  std::vector<ExpectSpec> expects;
 };
 
 // `sets` are key=value pairs that replace a value of the text, such as "load.rate=200".
--- a/standins/agent.cpp
+++ b/standins/agent.cpp
@@ -78,6 +78,10 @@
     push();
   }
 
+  void let_go() {
+    if (owner_ != nullptr && std::exchange(held_back_, false)) answer("204 No Content", "");
+  }
+
   void leave() {
     if (owner_ == nullptr) return;
     Agent* owner = std::exchange(owner_, nullptr);
@@ -157,7 +161,8 @@
       ++owner_->notices_;
       owner_->witness_.notice(now, owner_->relay_, notice.id, notice.returned, notice.after);
     }
-    answer("204 No Content", "");
+    held_back_ = owner_->holding_;
+    if (!held_back_) answer("204 No Content", "");
   }
 
   void answer(const std::string& status, const std::string& body) {
@@ -194,6 +199,7 @@
   int64_t seen_ = -1;
   bool watching_ = false;
   bool writing_ = false;
+  bool held_back_ = false;  // the answer to its notices
   bool waiting_ = false;    // for the agent to speak again
   bool then_read_ = false;  // the next request, once the answer is written
 };
@@ -254,6 +260,13 @@
   for (const auto& connection : all) connection->unmute();
 }
 
+void Agent::hold_notices(bool hold) {
+  holding_ = hold;
+  if (hold) return;
+  const auto all = connections_;
+  for (const auto& connection : all) connection->let_go();
+}
+
 void Agent::move(Time grace) {
   const auto before = connections_;
   acceptor_.close();
--- a/standins/agent.h
+++ b/standins/agent.h
@@ -43,6 +43,9 @@
   void learn(const std::vector<ListEntry>& changed);
   // No answer but to notices, and no line on a watch, until it speaks again.
   void mute(bool muted);
+  // Notices are read, and answered only when they are held no longer: a process that ends meanwhile cannot
+  // know whether they arrived.
+  void hold_notices(bool hold);
   // To another port: the old one takes no new connection, and ends the open ones after `grace`.
   void move(Time grace);
   std::string whole_list() const;  // {"revision":..,"complete":true,"members":[..]}
@@ -67,6 +70,7 @@
   std::map<int, ListEntry> entries_;   // by endpoint; those that left too
   std::map<int, int64_t> changed_at_;  // the version of an entry's last change
   bool muted_ = false;
+  bool holding_ = false;
   size_t notices_ = 0;
   std::set<std::shared_ptr<Connection>> connections_;
   std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
--- a/standins/endpoints.cpp
+++ b/standins/endpoints.cpp
@@ -297,6 +297,7 @@
     if (verdict.status == 429 || verdict.status == 503 || !verdict.runs) return settle(verdict);
     run_ = verdict;
     key_ = call.key;
+    came_ = now;
     if (verdict.runs_at <= now) return begin_run(call.number);
     timer_.expires_at(at_time(verdict.runs_at));
     timer_.async_wait([self = shared_from_this(), number = call.number](const Error& error) {
@@ -310,7 +311,8 @@
       muted_ = true;  // it stopped with this call in hand
       return;
     }
-    owner_->witness_.ran(steady_now(), number, partner.run(steady_now(), key_));
+    // A host begins a call when its last byte has come: a place that it waits for does not age its key.
+    owner_->witness_.ran(steady_now(), number, partner.run(came_, key_));
     timer_.expires_at(at_time(run_.at));
     timer_.async_wait([self = shared_from_this(), number](const Error& error) {
       if (error || self->owner_ == nullptr || self->call_ != number) return;
@@ -386,6 +388,7 @@
   Time first_byte_ = 0;  // of the request that is being read; 0: none
   uint64_t call_ = 0;    // that is out; 0: none
   uint64_t key_ = 0;
+  Time came_ = 0;  // its last byte
   Verdict run_;
   bool answering_ = false;
   bool closing_ = false;
@@ -511,4 +514,17 @@
   }
 }
 
+void Endpoints::hold_connections(int destination, bool hold) {
+  for (const auto& [number, endpoint] : endpoints_) {
+    if (endpoint->settings.destination != destination) continue;
+    const Trouble trouble = trouble_of(*endpoint);
+    if (trouble == Trouble::kSilent || trouble == Trouble::kRefuse) continue;
+    if (hold) {
+      endpoint->site->plug();
+    } else {
+      endpoint->site->listen();
+    }
+  }
+}
+
 }  // namespace umberhoist::standins
--- a/standins/endpoints.h
+++ b/standins/endpoints.h
@@ -55,6 +55,9 @@
   // Of a whole partner; ends by itself only through `end_trouble`.
   void begin_trouble(int destination, Trouble trouble, Time until, double amount, bool tells_wait);
   void end_trouble(int destination);
+  // New connections to a partner come up late: none while it holds them, the rest when their SYN is sent
+  // again. Open ones go on.
+  void hold_connections(int destination, bool hold);
 
   size_t connections() const { return connections_; }
   size_t calls_out() const { return calls_out_; }
--- a/standins/partner.cpp
+++ b/standins/partner.cpp
@@ -143,14 +143,14 @@
   return out;
 }
 
-bool Partner::run(Time now, uint64_t key) {
+bool Partner::run(Time came, uint64_t key) {
   if (key == 0) return true;
-  while (!key_order_.empty() && key_order_.front().first + settings_.key_window <= now) {
+  while (!key_order_.empty() && key_order_.front().first + settings_.key_window <= came) {
     keys_.erase(key_order_.front().second);
     key_order_.pop_front();
   }
-  if (!keys_.try_emplace(key, now).second) return false;
-  key_order_.emplace_back(now, key);
+  if (!keys_.try_emplace(key, came).second) return false;
+  key_order_.emplace_back(came, key);
   return true;
 }
 
--- a/standins/partner.h
+++ b/standins/partner.h
@@ -52,8 +52,8 @@
 
   // A call whose last byte has come.
   Verdict call(Time now);
-  // It runs now: false where its key is remembered, so that the repeat is dropped.
-  bool run(Time now, uint64_t key);
+  // It runs: false where its key was remembered when it came, so that the repeat is dropped.
+  bool run(Time came, uint64_t key);
   bool probe(Time now);  // true: it says that it is well
 
   void begin(Trouble trouble, Time now, Time until, double amount, bool tells_wait);
--- a/standins/process.cpp
+++ b/standins/process.cpp
@@ -10,7 +10,8 @@
 #include <cerrno>
 #include <cstring>
 #include <fstream>
-#include <sstream>
+#include <map>
+#include <nlohmann/json.hpp>
 #include <stdexcept>
 
 namespace umberhoist::standins {
@@ -34,6 +35,15 @@
 void Process::start() {
   const std::string config = folder_ / "config.json";
   const std::string state_folder = state();
+  const std::string temporary_folder = temporary();
+  std::filesystem::remove_all(temporary());
+  std::filesystem::create_directories(temporary());
+  std::map<std::string, std::string> told;
+  const auto json = nlohmann::json::parse(std::ifstream(config), nullptr, false);
+  for (const auto& [variable, key] :
+       {std::pair{"PROXY_NAME", "name"}, {"PROXY_LISTEN", "listen"}, {"PROXY_DISCOVERY", "discovery"}}) {
+    if (json.is_object() && json.contains(key)) told[variable] = json[key].get<std::string>();
+  }
   const std::string log = folder_ / "log";
   const int out = ::open(log.c_str(), O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC, 0600);
   if (out < 0) throw std::runtime_error("cannot open " + log + ": " + std::strerror(errno));
@@ -53,9 +63,11 @@
     sigset_t none;
     ::sigemptyset(&none);
     ::sigprocmask(SIG_SETMASK, &none, nullptr);
-    ::setpgid(0, 0);  // Ctrl-C is the kit's to pass on
+    ::setsid();  // Ctrl-C is the kit's to pass on
     ::setenv("PROXY_CONFIG", config.c_str(), 1);
     ::setenv("PROXY_STATE", state_folder.c_str(), 1);
+    ::setenv("TMPDIR", temporary_folder.c_str(), 1);
+    for (const auto& [variable, value] : told) ::setenv(variable.c_str(), value.c_str(), 1);
     ::execl(program_.c_str(), program_.c_str(), nullptr);
     ::_exit(127);
   }
@@ -74,32 +86,6 @@
   return true;
 }
 
-Usage Process::usage() const {
-  Usage out;
-  if (child_ <= 0) return out;
-  const std::string proc = "/proc/" + std::to_string(child_);
-  std::ifstream stat(proc + "/stat");
-  std::string text;
-  std::getline(stat, text);
-  if (const size_t name = text.rfind(')'); name != std::string::npos) {
-    std::istringstream fields(text.substr(name + 2));
-    std::string skip;
-    long long user = 0, system = 0, pages = 0;
-    for (int i = 0; i < 11; ++i) fields >> skip;
-    fields >> user >> system;
-    for (int i = 0; i < 8; ++i) fields >> skip;
-    fields >> pages;
-    out.cpu = (user + system) * kSecond / ::sysconf(_SC_CLK_TCK);
-    out.memory = static_cast<size_t>(pages) * static_cast<size_t>(::sysconf(_SC_PAGESIZE));
-  }
-  std::error_code error;
-  for (std::filesystem::directory_iterator it(proc + "/fd", error), end; !error && it != end;
-       it.increment(error)) {
-    ++out.descriptors;
-  }
-  return out;
-}
-
 void Process::forget_state() {
   std::error_code ignored;
   std::filesystem::remove_all(state(), ignored);
--- a/standins/process.h
+++ b/standins/process.h
@@ -7,35 +7,30 @@
 #include <filesystem>
 #include <string>
 
-#include "standins/witness.h"
-
 namespace umberhoist::standins {
 
-struct Usage {
-  Time cpu = 0;       // user and system, of this process since its start
-  size_t memory = 0;  // resident bytes
-  int descriptors = 0;
-};
-
 class Process {
  public:
-  // `folder` holds its configuration, its log and, in "state", what lasts. It may hold so many `descriptors`.
+  // `folder` holds its configuration, its log, in "state" what lasts and in "tmp" what does not. It may hold
+  // so many `descriptors`.
   Process(std::string program, std::filesystem::path folder, int descriptors);
   ~Process();  // kills it
   Process(const Process&) = delete;
   Process& operator=(const Process&) = delete;
 
   void configure(const std::string& json);  // replaces the file whole
-  void start();                             // throws std::runtime_error
+  // With the environment that the deployment page tells of, an empty temporary folder, and a session of its
+  // own, by which its helpers are known. Throws std::runtime_error.
+  void start();
   void signal(int number);
   // True once it has ended, and then each time until the next start.
   bool ended();
   int status() const { return status_; }  // as waitpid gives it
   bool running() const { return child_ > 0; }
   pid_t pid() const { return child_; }
-  Usage usage() const;
   void forget_state();  // the machine is lost with its folder
   std::filesystem::path state() const { return folder_ / "state"; }
+  std::filesystem::path temporary() const { return folder_ / "tmp"; }
 
  private:
   std::string program_;
--- a/standins/witness.h
+++ b/standins/witness.h
@@ -101,6 +101,9 @@
   virtual void outage_began(Time /*at*/, int /*destination*/) {}
   virtual void outage_ended(Time /*at*/, int /*destination*/, double /*capacity*/) {}
   virtual void relay_event(Time /*at*/, int /*relay*/, RelayEvent) {}
+  // It was ended over a limit of the platform's; `curve` is what was measured before, for people.
+  virtual void over_limit(Time /*at*/, int /*relay*/, const std::string& /*what*/,
+                          const std::vector<std::string>& /*curve*/) {}
 };
 
 // Tells each of several.
@@ -158,6 +161,10 @@
   void relay_event(Time at, int relay, RelayEvent event) override {
     for (Witness* w : all_) w->relay_event(at, relay, event);
   }
+  void over_limit(Time at, int relay, const std::string& what,
+                  const std::vector<std::string>& curve) override {
+    for (Witness* w : all_) w->over_limit(at, relay, what, curve);
+  }
 
  private:
   std::vector<Witness*> all_;
--- /dev/null
+++ b/tests/limits/meter_test.cpp
@@ -0,0 +1,122 @@
+// The meter against real processes of this test's own.
+#include "limits/meter.h"
+
+#include <gtest/gtest.h>
+#include <signal.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+#include <chrono>
+#include <fstream>
+#include <functional>
+#include <thread>
+
+namespace umberhoist::limits {
+namespace {
+
+constexpr size_t kMb = 1'000'000;
+
+class Folder {
+ public:
+  Folder() {
+    std::string pattern = std::filesystem::temp_directory_path() / "umberhoist-meter-XXXXXX";
+    path = ::mkdtemp(pattern.data());
+    std::filesystem::create_directories(path / "state");
+    std::filesystem::create_directories(path / "tmp");
+  }
+  ~Folder() { std::filesystem::remove_all(path); }
+  std::filesystem::path path;
+};
+
+// A program that does what a relay might, says so by a byte, and stays.
+class Child {
+ public:
+  Child(const std::string& role, const std::filesystem::path& state) {
+    int ends[2];
+    if (::pipe(ends) != 0) std::abort();
+    pid_ = ::fork();
+    if (pid_ == 0) {
+      ::setsid();
+      ::dup2(ends[1], 9);
+      ::setenv("PROXY_STATE", state.c_str(), 1);
+      ::execl(HELPER, HELPER, role.c_str(), nullptr);
+      ::_exit(127);
+    }
+    ::close(ends[1]);
+    char byte = 0;
+    done_ = ::read(ends[0], &byte, 1) == 1;
+    ::close(ends[0]);
+  }
+  ~Child() {
+    ::kill(pid_, SIGKILL);
+    ::waitpid(pid_, nullptr, 0);
+  }
+  pid_t pid() const { return pid_; }
+  bool done() const { return done_; }
+
+ private:
+  pid_t pid_ = -1;
+  bool done_ = false;
+};
+
+// Until it holds, or for a generous while.
+bool becomes(const std::function<bool()>& holds) {
+  const auto deadline = std::chrono::steady_clock::now() + std::chrono::seconds(30);
+  while (!holds()) {
+    if (std::chrono::steady_clock::now() > deadline) return false;
+    std::this_thread::sleep_for(std::chrono::milliseconds(20));
+  }
+  return true;
+}
+
+TEST(Meter, SeesARelayThatAllocates300MbAndFreesThemWithin50Ms) {
+  const Folder folder;
+  const Child child("burst", folder.path / "state");
+  ASSERT_TRUE(child.done());  // all is freed again
+  Meter meter(child.pid(), folder.path / "state", folder.path / "tmp");
+  const Usage usage = meter.sample(steady_now());
+  EXPECT_LT(usage.resident, 100 * kMb);
+  EXPECT_GT(usage.memory(), 290 * kMb);
+}
+
+TEST(Meter, CountsTheMemoryOfARelaysHelperProcesses) {
+  const Folder folder;
+  adopt_orphans();
+  const Child child("helpers", folder.path / "state");
+  ASSERT_TRUE(child.done());
+  Meter meter(child.pid(), folder.path / "state", folder.path / "tmp");
+  EXPECT_TRUE(becomes([&] { return meter.sample(steady_now()).resident > 95 * kMb; }));
+  const Usage usage = meter.sample(steady_now());
+  EXPECT_EQ(usage.processes, 3);
+  EXPECT_LT(usage.resident, 160 * kMb) << "what they share counts once";
+  EXPECT_GT(usage.sockets, 19);
+  meter.signal(SIGKILL);
+  EXPECT_TRUE(becomes([&] { return meter.sample(steady_now()).resident == 0; }));
+}
+
+TEST(Meter, CountsFoldersAsThePlatformDoes) {
+  const Folder folder;
+  const Child child("nothing", folder.path / "state");
+  std::filesystem::create_directories(folder.path / "state/deeper");
+  for (int i = 0; i < 10; ++i) std::ofstream(folder.path / "state/deeper" / std::to_string(i)) << "x";
+  std::ofstream(folder.path / "state/large") << std::string(1025, 'x');
+  std::ofstream(folder.path / "tmp/spool") << std::string(100'000, 'x');
+  Meter meter(child.pid(), folder.path / "state", folder.path / "tmp");
+  const Usage usage = meter.sample(steady_now());
+  EXPECT_EQ(usage.disk, 10u * 512 + 3 * 512);
+  EXPECT_EQ(usage.files, 11u);
+  EXPECT_GE(usage.temporary, 100'000u);
+  EXPECT_GE(usage.memory(), usage.resident + 100'000u);
+}
+
+TEST(Meter, AProcessThatHasEndedCostsNothingAndBreaksNothing) {
+  const Folder folder;
+  const Child child("nothing", folder.path / "state");
+  Meter meter(child.pid(), folder.path / "state", folder.path / "tmp");
+  EXPECT_GT(meter.sample(steady_now()).resident, 0u);
+  ::kill(child.pid(), SIGKILL);
+  EXPECT_TRUE(becomes([&] { return meter.sample(steady_now()).resident == 0; }));
+}
+
+}  // namespace
+}  // namespace umberhoist::limits
--- a/tests/rehearsal/planted_test.cpp
+++ b/tests/rehearsal/planted_test.cpp
@@ -87,7 +87,6 @@
 
 const std::string kSilence = "[[event]]\nat_s = 1.5\nfor_s = 3\ndo = \"hang\"\nshare = 0.5\n";
 const std::string kAllHang = "[[event]]\nat_s = 2\nfor_s = 5\ndo = \"hang\"\nkind = \"std\"\n";
-const std::string kKill = "[[event]]\nat_s = 4\ndo = \"kill\"\nrelay = 0\n";
 const std::string kReplace =
     "[[event]]\nat_s = 1\nfor_s = 1\ndo = \"replace\"\namount = 0.6\nsame_address = false\n";
 const std::string kReset = "[[event]]\nat_s = 1\nfor_s = 4\ndo = \"reset\"\nkind = \"std\"\namount = 0.4\n";
@@ -95,15 +94,22 @@
 const std::string kShut = "[[event]]\nat_s = 1\nfor_s = 3\ndo = \"shut\"\nkind = \"std\"\n";
 const std::string kToldShut = kShut + "wait_told = true\n";
 
+// The world that the rules' own faults are played in, and the short scenarios that ship by their names.
+struct Play {
+  std::string name;                    // of a scenario that ships, or of this test's own
+  std::string events = {};             // its own: kWorld with these
+  std::vector<std::string> sets = {};  // key=value
+  std::string spare = "spare = 3";     // of the partners' capacity
+};
+
 struct Case {
-  std::string mutant;
+  std::string fault;
   std::string rule;
-  std::string events;
-  std::vector<std::string> sets = {};
-  std::string spare = "spare = 3";  // of the partners' capacity
+  Play play;
 };
 
-std::ostream& operator<<(std::ostream& out, const Case& c) { return out << c.mutant; }
+std::ostream& operator<<(std::ostream& out, const Case& c) { return out << c.fault; }
+std::ostream& operator<<(std::ostream& out, const Play& p) { return out << p.name; }
 
 struct Played {
   int status = 0;
@@ -111,14 +117,25 @@
   std::string out;
 };
 
-Played play(const std::string& relay, const Case& c) {
+// A soak plays more seeds than one: UMBERHOIST_SEEDS=5 ctest -R Planted
+int seeds() {
+  const char* wanted = std::getenv("UMBERHOIST_SEEDS");
+  return wanted == nullptr ? 1 : std::max(1, std::atoi(wanted));
+}
+
+Played play(const std::string& relay, const Play& p, int seed) {
   const Folder folder;
-  std::string world = kWorld;
-  world.replace(world.find("spare = 3"), 9, c.spare);
-  std::ofstream(folder.path / "s.toml") << world << kClasses << c.events;
-  std::vector<std::string> words = {"run",      folder.path / "s.toml", "--relay", relay,
-                                    "--report", folder.path / "r",      "--quiet"};
-  for (const std::string& set : c.sets) words.insert(words.end(), {"--set", set});
+  std::string scenario = p.name;
+  if (!p.events.empty()) {
+    std::string world = kWorld;
+    world.replace(world.find("spare = 3"), 9, p.spare);
+    scenario = folder.path / "s.toml";
+    std::ofstream(scenario) << world << kClasses << p.events;
+  }
+  std::vector<std::string> words = {"run",     scenario,   "--relay",
+                                    relay,     "--report", folder.path / "r",
+                                    "--quiet", "--seed",   std::to_string(seed)};
+  for (const std::string& set : p.sets) words.insert(words.end(), {"--set", set});
   Played out;
   out.status = wait_for(start(words, folder.path / "out"));
   out.out = read(folder.path / "out");
@@ -132,51 +149,116 @@
 
 TEST_P(Planted, IsReportedAsItsOwnRule) {
   const Case& c = GetParam();
-  const Played bad = play(std::string(MUTANTS) + "/mutant-" + c.mutant, c);
-  EXPECT_EQ(bad.status, 1) << bad.out;
-  ASSERT_TRUE(bad.report.is_object()) << bad.out;
-  EXPECT_EQ(bad.report.at("result"), "broken");
-  ASSERT_TRUE(bad.report.at("by_rule").contains(c.rule)) << bad.out;
-  const json& list = bad.report.at("breach_list");
-  const auto own =
-      std::find_if(list.begin(), list.end(), [&](const json& b) { return b.at("rule") == c.rule; });
-  ASSERT_NE(own, list.end());
-  if (own->at("message") != 0) {
-    EXPECT_GE(own->at("history").size(), 2u);
+  ::setenv("UMBERHOIST_FAULT", c.fault.c_str(), 1);
+  for (int seed = 1; seed <= seeds(); ++seed) {
+    const Played bad = play(PLANTED, c.play, seed);
+    SCOPED_TRACE("seed " + std::to_string(seed));
+    EXPECT_EQ(bad.status, 1) << bad.out;
+    ASSERT_TRUE(bad.report.is_object()) << bad.out;
+    EXPECT_EQ(bad.report.at("result"), "broken");
+    ASSERT_TRUE(bad.report.at("by_rule").contains(c.rule)) << bad.out;
+    const json& list = bad.report.at("breach_list");
+    const auto own =
+        std::find_if(list.begin(), list.end(), [&](const json& b) { return b.at("rule") == c.rule; });
+    ASSERT_NE(own, list.end());
+    if (own->at("message") != 0) {
+      EXPECT_GE(own->at("history").size(), 2u);
+    }
+    EXPECT_NE(bad.out.find(c.rule), std::string::npos);  // loudly
   }
-  EXPECT_NE(bad.out.find(c.rule), std::string::npos);  // loudly
 }
 
-TEST_P(Planted, IsNotSeenInTheHealthyDaemon) {
-  const Case& c = GetParam();
-  const Played good = play(UMBERHOIST, c);
-  EXPECT_EQ(good.status, 0) << good.out;
-  ASSERT_TRUE(good.report.is_object()) << good.out;
-  EXPECT_EQ(good.report.at("breaches"), 0) << good.out;
-  EXPECT_GT(good.report.at("messages"), 200);
+// The same program without a fault, and the daemon itself: what is reported is the fault, not the scenario.
+class Healthy : public ::testing::TestWithParam<Play> {};
+
+TEST_P(Healthy, KeepsAllRules) {
+  ::unsetenv("UMBERHOIST_FAULT");
+  for (int seed = 1; seed <= seeds(); ++seed) {
+    const Played good = play(UMBERHOIST, GetParam(), seed);
+    SCOPED_TRACE("seed " + std::to_string(seed));
+    EXPECT_EQ(good.status, 0) << good.out;
+    ASSERT_TRUE(good.report.is_object()) << good.out;
+    EXPECT_EQ(good.report.at("breaches"), 0) << good.out;
+    EXPECT_GT(good.report.at("messages"), 100);
+  }
 }
 
+std::string test_name(std::string name) {
+  std::replace(name.begin(), name.end(), '-', '_');
+  return name;
+}
+
+const Play kResets{"resets", kReset};
+const Play kSilences{"silences", kSilence};
+const Play kHangs{"all-hang", kAllHang};
+const Play kQuiet{"replaced", kReplace};
+const Play kPushed{
+    "returning", kAllHang, {"load.rate=200", "seconds=9", "relays.slots_room=50"}, "spare = 1"};
+const Play kFails{"failing", kFail, {"relays.max_attempts=2"}};
+const Play kShuts{"shut-and-told", kToldShut};
+// Room enough for what is alive, and a load that passes it within seconds if nothing is ever given back.
+const Play kSmallDisk{
+    "small-disk", kReplace, {"relays.disk_mb=0.3", "load.rate=150", "load.body_bytes=2000"}};
+const Play kFewSockets{"few-sockets", kReplace, {"relays.sockets=256"}};
+
+INSTANTIATE_TEST_SUITE_P(Kit, Healthy,
+                         ::testing::Values(kResets, kSilences, kHangs, kQuiet, kPushed, kFails, kShuts,
+                                           kSmallDisk, kFewSockets, Play{"kept-messages"},
+                                           Play{"kept-attempts"}, Play{"kept-windows"}, Play{"kept-counts"},
+                                           Play{"kept-refusals"}, Play{"kept-notices"}, Play{"kept-ends"},
+                                           Play{"kept-drains"}, Play{"kept-partners"}, Play{"kept-outage"},
+                                           Play{"kept-return"}, Play{"kept-tokens"}, Play{"kept-known"},
+                                           Play{"race-waits"}, Play{"race-drains"}, Play{"race-windows"}),
+                         [](const auto& param) { return test_name(param.param.name); });
+
+INSTANTIATE_TEST_SUITE_P(
+    Rules, Planted,
+    ::testing::Values(Case{"unsafe-again", "unsafe-repeated", kResets},
+                      Case{"key-window", "key-window", kSilences},
+                      Case{"two-at-once", "two-attempts-at-once", kQuiet}, Case{"drain", "drain", kQuiet},
+                      Case{"wait", "wait", kShuts}, Case{"wait-half", "wait", kShuts},
+                      Case{"no-notice", "lost", kResets}, Case{"late-notice", "notice-late", kHangs},
+                      Case{"notice-twice", "two-final-answers", kResets},
+                      Case{"pushes", "pushed-over", kPushed}, Case{"attempts", "attempts", kFails},
+                      Case{"wrong-endpoint", "wrong-endpoint", kQuiet}, Case{"wrong-body", "content", kQuiet},
+                      Case{"crash", "crash", kQuiet}),
+    [](const auto& param) { return test_name(param.param.fault); });
+
+INSTANTIATE_TEST_SUITE_P(
+    Limits, Planted,
+    ::testing::Values(Case{"memory-held", "crash", kQuiet}, Case{"memory-burst", "crash", kQuiet},
+                      Case{"memory-helpers", "crash", kQuiet}, Case{"memory-temporary", "crash", kQuiet},
+                      Case{"disk-grows", "crash", kSmallDisk}, Case{"disk-many-files", "crash", kSmallDisk},
+                      Case{"disk-spool", "crash", kSmallDisk},
+                      Case{"sockets-in-helpers", "crash", kFewSockets}),
+    [](const auto& param) { return test_name(param.param.fault); });
+
 INSTANTIATE_TEST_SUITE_P(
-    Kit, Planted,
-    ::testing::Values(Case{"unsafe-again", "unsafe-repeated", kReset},
-                      Case{"key-window", "key-window", kSilence},
-                      Case{"two-at-once", "two-attempts-at-once", ""}, Case{"drain", "drain", kReplace},
-                      Case{"wait", "wait", kToldShut}, Case{"forgets-at-restart", "lost", kAllHang + kKill},
-                      Case{"no-notice", "lost", kReset}, Case{"late-notice", "notice-late", kAllHang},
-                      Case{"notice-twice", "two-final-answers", kReset},
-                      Case{"pushes",
-                           "pushed-over",
-                           kAllHang,
-                           {"load.rate=200", "seconds=9", "relays.slots_room=50"},
-                           "spare = 1"},
-                      Case{"attempts", "attempts", kFail, {"relays.max_attempts=2"}},
-                      Case{"wrong-endpoint", "wrong-endpoint", ""}, Case{"wrong-body", "content", ""},
-                      Case{"ok-before-journal", "lost", kAllHang + kKill}, Case{"crash", "crash", ""}),
-    [](const auto& param) {
-      std::string name = param.param.mutant;
-      std::replace(name.begin(), name.end(), '-', '_');
-      return name;
-    });
+    Kept, Planted,
+    ::testing::Values(Case{"forgets-at-restart", "lost", {"kept-messages"}},
+                      Case{"ok-before-journal", "lost", {"kept-messages"}},
+                      Case{"forgets-what-may-have-run", "unsafe-repeated", {"kept-attempts"}},
+                      Case{"forgets-when-it-was-sent", "key-window", {"kept-windows"}},
+                      Case{"forgets-how-often", "attempts", {"kept-counts"}},
+                      Case{"forgets-what-never-ran", "expectation", {"kept-refusals"}},
+                      Case{"forgets-notices", "unsafe-repeated", {"kept-notices"}},
+                      Case{"forgets-deliveries", "expectation", {"kept-ends"}},
+                      Case{"forgets-drains", "drain", {"kept-drains"}},
+                      Case{"forgets-gone", "drain", {"kept-drains"}},
+                      Case{"forgets-revision", "drain", {"kept-drains"}},
+                      Case{"forgets-destinations", "expectation", {"kept-partners"}},
+                      Case{"forgets-outages", "pushed-over", {"kept-outage"}},
+                      Case{"forgets-returns", "expectation", {"kept-return"}},
+                      Case{"forgets-rates", "expectation", {"kept-return"}},
+                      Case{"forgets-tokens", "expectation", {"kept-tokens"}},
+                      Case{"forgets-known", "expectation", {"kept-known"}}),
+    [](const auto& param) { return test_name(param.param.fault); });
+
+INSTANTIATE_TEST_SUITE_P(Races, Planted,
+                         ::testing::Values(Case{"no-look-at-waits", "wait", {"race-waits"}},
+                                           Case{"no-look-at-drains", "drain", {"race-drains"}},
+                                           Case{"no-look-at-the-time", "key-window", {"race-windows"}}),
+                         [](const auto& param) { return test_name(param.param.fault); });
 
 // ---- The program itself ----
 
