--- a/include/firspool/policy.h
+++ b/include/firspool/policy.h
@@ -131,7 +131,7 @@
 struct Arrival {
   uint64_t id = 0;
   int message_class = 0;
-  int tenant = 0;
+  int tenant = 0;    // index in the settings; -1: none, and no quota
   uint64_t key = 0;  // for classes in order: what the message is about; 0: nothing
   Time due = 0;
   int destination = 0;
--- a/relay/clients.cpp
+++ b/relay/clients.cpp
@@ -79,11 +79,13 @@
     const std::string_view value = item.substr(equals + 1);
     if (name == "c") out.message_class = value;
     if (name == "k") out.key = value;
+    if (name == "t") out.tenant = value;
     if (name == "d") out.life = 1000 * number(value, kMostLife);
     if (name == "dest") out.destination = static_cast<int>(number(value, 1'000'000));
   }
   if (!is_name(out.message_class)) throw std::invalid_argument("unreadable class");
   if (!out.key.empty() && !is_name(out.key)) throw std::invalid_argument("unreadable idempotency key");
+  if (!out.tenant.empty() && !is_name(out.tenant)) throw std::invalid_argument("unreadable tenant");
   if (out.life < 0) throw std::invalid_argument("no d");
   if (out.destination < 0) throw std::invalid_argument("no dest");
   out.body = words[4];
--- a/relay/message.h
+++ b/relay/message.h
@@ -12,7 +12,8 @@
 struct Handed {
   std::string id;
   std::string message_class;
-  std::string key;  // idempotency key; empty if none
+  std::string key;     // idempotency key; empty if none
+  std::string tenant;  // empty: none named
   int destination = 0;
   Time life = 0;  // how long it may still be delivered, when its last byte came
   std::string body;
--- a/relay/relay.cpp
+++ b/relay/relay.cpp
@@ -136,6 +136,13 @@
   return it == classes.end() ? -1 : static_cast<int>(it - classes.begin());
 }
 
+// -1: none is named, so no quota is known for it.
+int Relay::tenant_of(const std::string& name) const {
+  const auto& tenants = config_.settings.tenants;
+  const auto it = std::find_if(tenants.begin(), tenants.end(), [&](const auto& t) { return t.name == name; });
+  return it == tenants.end() ? -1 : static_cast<int>(it - tenants.begin());
+}
+
 // Only now messages are taken on or resumed: what discovery had to tell at once has been heard.
 void Relay::open() {
   if (clients_ || stopping_since_ != 0) return;
@@ -172,6 +179,7 @@
       return;
     }
     in.due = held.due;
+    in.tenant = tenant_of(held.handed.tenant);
     in.destination = held.handed.destination;
     in.attempts = entry.attempts;
     if (!entry.unsettled.empty()) {
@@ -195,6 +203,7 @@
   const ClassSettings& settings = config_.settings.classes[message_class];
   if (settings.effect == Effect::kKeyed && handed.key.empty()) return answer("-ERR no idempotency key");
   if (handed.life > settings.give_up + kClockSlack) return answer("-ERR d is too long");
+  if (!config_.settings.tenants.empty() && tenant_of(handed.tenant) < 0) return answer("-ERR unknown tenant");
   if (!directory_.known(handed.destination)) return answer("-ERR unknown destination");
   if (held_.size() >= static_cast<size_t>(config_.settings.max_open)) return answer(kBusy);
   const uint64_t number = ++last_number_;
@@ -203,6 +212,7 @@
   in.message_class = message_class;
   in.due = steady_now() + handed.life - std::min(kTransit, handed.life);
   in.destination = handed.destination;
+  in.tenant = tenant_of(handed.tenant);
   numbers_[handed.id] = number;
   held_[number] = {std::move(handed), in.due, 0, false};
   pending_.push_back({number, std::move(answer)});
--- a/relay/relay.h
+++ b/relay/relay.h
@@ -54,6 +54,7 @@
   void remember_host(const ListedHost& host);
   void forget_gone(const Endpoint& endpoint);
   int class_of(const std::string& name) const;
+  int tenant_of(const std::string& name) const;
   void put(Handed handed, Clients::Answer answer);
   void told(const HostList& list);
   bool may_start(const Call& call);
--- a/state/format.cpp
+++ b/state/format.cpp
@@ -10,6 +10,7 @@
 constexpr std::string_view kMagic = "UMBHJRNL";
 constexpr size_t kCopyBytes = kHeaderBytes / 2;
 constexpr char kMark[2] = {'\xd5', '\x4a'};
+constexpr uint8_t kNamesTenant = 0x80;  // in the notice's byte of an accepted message, from version 3 on
 constexpr size_t kReadAtOnce = 512 * 1024;
 
 using Crc32c = boost::crc_optimal<32, 0x1EDC6F41, 0xFFFFFFFF, 0xFFFFFFFF, true, true>;
@@ -127,22 +128,23 @@
 std::string encode(const Accepted& a) {
   Writer out;
   out.number(a.order).number(a.due).number(static_cast<int32_t>(a.message.destination));
-  out.number(static_cast<uint8_t>(!a.owed            ? 0
-                                  : a.owed->returned ? 2
-                                                     : 1))
-      .number(a.owed ? a.owed->after : Time{0});
+  const uint8_t notice = !a.owed ? 0 : a.owed->returned ? 2 : 1;
+  out.number(static_cast<uint8_t>(notice | (a.message.tenant.empty() ? 0 : kNamesTenant)));
+  out.number(a.owed ? a.owed->after : Time{0});
   out.number(static_cast<uint16_t>(a.attempts.size()));
   for (const Attempt& t : a.attempts) {
     out.number(static_cast<uint16_t>(t.number)).number(t.sent).number(static_cast<int16_t>(t.zone));
     out.number(static_cast<uint8_t>(t.never_ran));
   }
-  out.text(a.message.id).text(a.message.message_class).text(a.message.key).rest(a.message.body);
-  return out.take();
+  out.text(a.message.id).text(a.message.message_class).text(a.message.key);
+  if (!a.message.tenant.empty()) out.text(a.message.tenant);
+  return out.rest(a.message.body).take();
 }
 
 size_t framed_bytes(const Accepted& a) {
   return kFrameBytes + 31 + kAttemptInCopy * a.attempts.size() + 6 + a.message.id.size() +
-         a.message.message_class.size() + a.message.key.size() + a.message.body.size();
+         a.message.message_class.size() + a.message.key.size() + a.message.body.size() +
+         (a.message.tenant.empty() ? 0 : 2 + a.message.tenant.size());
 }
 
 std::string encode_attempt(uint64_t order, const Attempt& t) {
@@ -170,7 +172,8 @@
   out.order = in.number<uint64_t>();
   out.due = in.number<Time>();
   out.message.destination = in.number<int32_t>();
-  const auto owed = in.number<uint8_t>();
+  const auto marks = in.number<uint8_t>();
+  const int owed = marks & ~kNamesTenant;
   const Time after = in.number<Time>();
   const auto count = in.number<uint16_t>();
   for (size_t i = 0; i < count && in.good(); ++i) {
@@ -184,6 +187,7 @@
   out.message.id = in.text();
   out.message.message_class = in.text();
   out.message.key = in.text();
+  if ((marks & kNamesTenant) != 0) out.message.tenant = in.text();
   out.message.body = in.rest();
   if (owed != 0) out.owed = firspool::relay::Notice{out.message.id, owed == 2, after};
   return in.all() ? std::optional(std::move(out)) : std::nullopt;
--- a/state/format.h
+++ b/state/format.h
@@ -15,8 +15,9 @@
 
 using Time = int64_t;  // microseconds of the wall clock
 
-constexpr uint32_t kVersion = 2;      // 1 was one file without headers
-constexpr size_t kHeaderBytes = 128;  // two copies of 64
+constexpr uint32_t kVersion = 3;        // 1 was one file without headers; 2 knew no tenants
+constexpr uint32_t kOldestVersion = 2;  // whose segments are read as they are
+constexpr size_t kHeaderBytes = 128;    // two copies of 64
 constexpr size_t kFrameBytes = 12;
 constexpr size_t kMostRecord = 256 * 1024;  // payload: a body of 64 KiB and whatever a client's names hold
 constexpr size_t kMostOwner = 16;
--- a/state/journal.cpp
+++ b/state/journal.cpp
@@ -87,9 +87,10 @@
     segment.size = static_cast<size_t>(std::max<ssize_t>(0, files_.size(file)));
     const auto header = read_header(files_, file);
     files_.close(file);
-    if (header && header->version != kVersion) {
+    if (header && (header->version < kOldestVersion || header->version > kVersion)) {
       throw std::runtime_error(segment.name + " is of version " + std::to_string(header->version) +
-                               "; expected " + std::to_string(kVersion) + ". Nothing was changed");
+                               "; expected " + std::to_string(kOldestVersion) + " to " +
+                               std::to_string(kVersion) + ". Nothing was changed");
     }
     if (!header && segment.size == 0) {
       strange[number] = number == *numbers.rbegin() ? "" : "it is empty";
--- a/tests/parts_test.cpp
+++ b/tests/parts_test.cpp
@@ -49,6 +49,9 @@
     return parse_put({"MSG.PUT", "0", id, list, ""});
   };
   EXPECT_EQ(parse("a", "c=x,d=8000,dest=7,r=1,again=1").life, 8'000'000);
+  EXPECT_EQ(parse("a", "c=x,t=acme,d=8000,dest=7").tenant, "acme");
+  EXPECT_EQ(parse("a", "c=x,d=8000,dest=7").tenant, "");
+  EXPECT_THROW(parse("a", "c=x,t=ac\nme,d=8000,dest=7"), std::invalid_argument);
   EXPECT_THROW(parse("a\r\nX: y", "c=x,d=8000,dest=7"), std::invalid_argument);
   EXPECT_THROW(parse("a", "c=x,k=b\r\nc,d=8000,dest=7"), std::invalid_argument);
   EXPECT_THROW(parse("a", "c=x,d=-1,dest=7"), std::invalid_argument);
--- a/tests/program_test.cpp
+++ b/tests/program_test.cpp
@@ -459,6 +459,38 @@
   }
 }
 
+// Settings that name tenants are for messages that do: what a title hands in beyond its quota goes first,
+// also where another title's messages are older.
+TEST(Program, GivesBackWhatATenantSentBeyondItsQuota) {
+  Stage s;
+  s.config["settings"]["realms"] = {{{"name", "steady"}, {"quota_per_s", 1000.0}},
+                                    {{"name", "flood"}, {"quota_per_s", 0.5}}};
+  s.config["settings"]["over_share_worth"] = 0.2;
+  s.config["settings"]["bounds"]["open_cap"] = 10;
+  s.config["settings"]["family_info"]["calls_out"] = 1;
+  Program small(s.config);
+  small.start();
+  Socket client = small.client();
+  for (const std::string what : {"t=nosuch,", ""}) {
+    client.send(put_bytes("00000000000000f1", what + kFacts));
+    EXPECT_EQ(client.line(), "-ERR unknown tenant") << what;
+  }
+  // One of them is out, and over 9 are one too many.
+  for (int i = 0; i < 5; ++i) {
+    client.send(put_bytes("steady" + std::to_string(i), std::string("t=steady,") + kFacts));
+    EXPECT_EQ(client.line(), "+OK");
+  }
+  for (int i = 0; i < 4; ++i) {
+    client.send(put_bytes("flood" + std::to_string(i), std::string("t=flood,") + kFacts));
+    EXPECT_EQ(client.line(), "+OK");
+  }
+  client.send(put_bytes("steady5", std::string("t=steady,") + kFacts));
+  EXPECT_EQ(client.line(), "+OK");
+  const nlohmann::json notice = s.discovery.notice();
+  EXPECT_TRUE(notice.at("id").get<std::string>().starts_with("flood")) << notice;
+  EXPECT_EQ(notice.at("state"), "returned");
+}
+
 // Handed in twice before it is decided on: both get the one answer.
 TEST(Program, AnswersARepeatedIdAsTheFirst) {
   Stage s;
--- a/tests/state/journal_test.cpp
+++ b/tests/state/journal_test.cpp
@@ -19,6 +19,7 @@
   out.message_class = "keyed";
   out.key = "key-" + id;
   out.destination = 7;
+  if (id.size() % 2 == 0) out.tenant = "title-" + id;  // others name none
   out.body = std::string(body, id.empty() ? 'x' : id.back());
   return out;
 }
@@ -29,7 +30,7 @@
 
 struct Known {
   Time due = 0;
-  std::string body;
+  std::string body, tenant;
   std::map<int, std::pair<Time, int>> unsettled;
   int attempts = 0;
   std::optional<std::pair<bool, Time>> owed;
@@ -53,7 +54,7 @@
   Journal journal(files, options(disk, 99));
   Model out;
   journal.recover([&](Recovered r) {
-    Known known{r.due, r.message.body, r.unsettled, r.attempts, {}};
+    Known known{r.due, r.message.body, r.message.tenant, r.unsettled, r.attempts, {}};
     if (r.owed) known.owed = {r.owed->returned, r.owed->after};
     out.messages.emplace_back(r.message.id, std::move(known));
   });
@@ -107,7 +108,7 @@
       const bool there = model.find(fresh) != nullptr;
       if (journal->accepted(handed, 1000 + i)) {
         EXPECT_FALSE(there);
-        model.messages.emplace_back(fresh, Known{1000 + i, handed.body, {}, 0, {}});
+        model.messages.emplace_back(fresh, Known{1000 + i, handed.body, handed.tenant, {}, 0, {}});
       }
     } else if (what < 50 && known->attempts < 6 && !known->owed) {
       if (journal->attempt(id, known->attempts, 10 * i, i % 3)) {
@@ -368,7 +369,7 @@
 
 TEST(Journal, ANewerVersionIsRefusedAndLeftUntouched) {
   Header header;
-  header.version = 3;
+  header.version = 4;
   header.number = 1;
   header.owner = kOwner;
   Contents contents{{"journal-0000000001", encode(header) + "what nobody can read"}, {"journal", "old"}};
@@ -377,7 +378,7 @@
     Journal journal(files, options(100'000));
     FAIL();
   } catch (const std::runtime_error& error) {
-    EXPECT_STREQ(error.what(), "journal-0000000001 is of version 3; expected 2. Nothing was changed");
+    EXPECT_STREQ(error.what(), "journal-0000000001 is of version 4; expected 2 to 3. Nothing was changed");
   }
   EXPECT_EQ(files.contents(), contents);
   EXPECT_TRUE(files.changes.empty());
@@ -402,7 +403,8 @@
           for (int i = 0; i < 150; ++i) {
             const std::string id = "m" + std::to_string(i);
             if (!journal.accepted(message(id, 300), i)) continue;
-            model.messages.emplace_back(id, Known{i, message(id, 300).body, {}, 0, {}});
+            model.messages.emplace_back(id,
+                                        Known{i, message(id, 300).body, message(id, 300).tenant, {}, 0, {}});
             if (journal.attempt(id, 0, i, 0)) {
               model.messages.back().second.unsettled[0] = {i, 0};
               model.messages.back().second.attempts = 1;
@@ -505,7 +507,37 @@
   EXPECT_TRUE(found.messages[0].second.unsettled.empty());
 }
 
-// ---- The earlier version ----
+// ---- Earlier versions ----
+
+// Version 2 knew no tenants; else its records are the same, so its segments are read as they are.
+TEST(Journal, SegmentsOfVersionTwoAreReadAndCopiedForward) {
+  Header header;
+  header.version = 2;
+  header.number = 1;
+  header.salt = 5;
+  header.owner = kOwner;
+  Accepted a;
+  a.order = 1;
+  a.due = 77;
+  a.message = message("a");
+  a.message.tenant.clear();
+  MemoryFiles files(Contents{{"journal-0000000001", encode(header) + frame(5, Kind::kAccepted, encode(a))}});
+  for (int start = 0; start < 2; ++start) {
+    const Model found = recovered(files, 100'000);
+    ASSERT_EQ(found.messages.size(), 1u);
+    EXPECT_EQ(found.messages[0].second.due, 77);
+    EXPECT_EQ(found.messages[0].second.body, a.message.body);
+    EXPECT_EQ(found.messages[0].second.tenant, "");
+    Journal journal(files, options(100'000));
+    for (int i = 0; i < 200; ++i) {  // until the old segment has been copied forward
+      const std::string id = "x" + std::to_string(start * 1000 + i);
+      ASSERT_TRUE(journal.accepted(message(id, 2000), 1));
+      journal.done(id);
+      journal.tidy(1 << 20);
+    }
+  }
+  EXPECT_FALSE(files.contents().contains("journal-0000000001"));
+}
 
 std::string legacy_record(const std::string& payload) {
   std::string out;
