Hangs and crashes elsewhere cost no idle connections; quotas hold across a restart

Change: a call lost on an idle connection counts only once the destination has served a fresh one sent since, in no more than 0.7 s; a failed connection only if the host serves a call sent within 1 s of it. A tenant's quota is counted when messages were handed in, not when a restart gives them back.

--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -32,6 +32,8 @@
 constexpr double kGain = 0.15;              // weight of a new latency or failure sample
 constexpr Time kKeepRegain = 30 * kSecond;  // the age at which an idle connection is trusted doubles so fast
 constexpr int kKeepCut = 3;                 // that age, in parts of the age at which a call on one was lost
+constexpr size_t kDoubts = 4;               // lost calls that a destination is remembered for
+constexpr Time kFullSpan = kSecond;         // no connection, and served again within this: not down
 constexpr double kFullTable = 0.05;         // more calls without a connection: idle ones fill the tables
 constexpr double kStaleAbove = 0.2;  // calls on idle connections fail by so much more than on fresh ones
 constexpr Time kFirstLatency = 400 * kMs;  // assumed before anything was measured
@@ -151,6 +153,11 @@
   Time not_before = 0;
 };
 
+struct Doubt {  // a call that was lost on a connection that had been idle so long
+  Time sent = 0;
+  Time idle = 0;
+};
+
 // What the rules tie to a destination: all its endpoints, or one where routes are apart.
 using LaneKey = std::pair<int, Endpoint>;  // a destination; and an endpoint where routes are apart
 
@@ -176,6 +183,7 @@
   Time last_served_sent = std::numeric_limits<Time>::min();  // when the youngest served call was sent
   bool probe_out = false;
   bool probe_ok = false;
+  std::vector<Doubt> doubted;  // lost on idle connections, with none served on a fresh one since
   Rate served;
 };
 
@@ -188,6 +196,7 @@
   int calls = 0;
   int conns = 0;
   Time last_used = 0;
+  Time unconnected_at = 0;  // the first connection that failed since something was served; 0: none
   int fails = 0;
   Time avoid_until = 0;
   Latency latency;
@@ -297,7 +306,7 @@
     Message& m = messages_[e.id];
     m.in = e;
     m.target = e.due - c.give_up + c.target;
-    m.worth = c.worth * tenant_share(e.tenant);
+    m.worth = c.worth * tenant_share(e.tenant, e.due - c.give_up);
     m.attempts = e.attempts;
     m.repeat = e.attempts > 0;
     m.ran = m.resumed_ran = e.ran;
@@ -306,15 +315,16 @@
     if (c.in_order && e.key != 0) turns_[e.key].push_back(e.id);
   }
 
-  // What a tenant sends beyond its quota is worth little; this relay's part of it is taken as an even one.
-  double tenant_share(int tenant) {
+  // What a tenant sends beyond its quota is worth little; this relay's part of it is taken as an even one. It
+  // counts when it was handed in: what a restart gives back in one moment did not come in one.
+  double tenant_share(int tenant, Time handed) {
     if (tenant < 0 || tenant >= static_cast<int>(set_.tenants.size())) return 1;
     const double quota = set_.tenants[tenant].quota_per_s / set_.relays;
     if (quota <= 0) return 1;
     auto [it, fresh] = tenant_pacers_.try_emplace(tenant);
     Pacer& pacer = it->second;
-    if (fresh) pacer = {2 * quota, now_};
-    pacer.refill(now_, quota, std::max(1.0, 2 * quota));
+    if (fresh) pacer = {2 * quota, std::min(handed, now_)};
+    pacer.refill(std::clamp(handed, pacer.at, now_), quota, std::max(1.0, 2 * quota));
     if (pacer.tokens < 1) return set_.over_share_worth;
     pacer.tokens -= 1;
     return 1;
@@ -395,7 +405,7 @@
 
   void learn(const AttemptEnded& e, const Attempt& attempt, Host& host, Lane& l, Destination& d) {
     heed_report(e, l);
-    learn_idle(e.outcome, attempt, kinds_[d.kind], l);
+    learn_idle(e, attempt, kinds_[d.kind], l);
     // Slow or lost: whether calls past the suspicious age are served after all.
     if (e.outcome == Outcome::kOk || e.outcome == Outcome::kTimeout) {
       const bool overdue = e.took > latency_of(d).suspicious();
@@ -408,6 +418,11 @@
         kinds_[d.kind].latency.add(seconds(e.took));
         learn_latency(d, e.took);
         if (d.usual.seen == 0 || e.took < micros(4 * d.usual.mean)) d.usual.add(seconds(e.took));
+        // It took no connection and serves all the same: its table was full. One that is down serves nothing.
+        if (host.unconnected_at != 0 && attempt.sent < host.unconnected_at + kFullSpan) {
+          kinds_[d.kind].unconnected += kGain * (1 - kinds_[d.kind].unconnected);
+        }
+        host.unconnected_at = 0;
         host.fails = 0;
         host.avoid_until = 0;
         return served(attempt, l);
@@ -427,6 +442,7 @@
         if (e.outcome == Outcome::kTimeout && hope_ > kHopeLeast && l.last_served_sent < attempt.sent) {
           learn_latency(d, e.took);
         }
+        if (e.outcome == Outcome::kConnectFailed && host.unconnected_at == 0) host.unconnected_at = now_;
         if (e.outcome != Outcome::kError) avoid(host);
         return unserved(attempt, l, true, false);
       case Outcome::kCancelled:
@@ -476,17 +492,34 @@
   }
 
   // Idle connections can be dropped unseen: the age at which they are still used shrinks when calls on them
-  // are lost more often than on fresh ones. Where it errs it costs handshakes.
-  void learn_idle(Outcome outcome, const Attempt& attempt, Kind& k, const Lane& l) {
-    if (outcome == Outcome::kConnectFailed && l.out_since == 0) k.unconnected += kGain * (1 - k.unconnected);
-    if (outcome == Outcome::kOk) k.unconnected *= 1 - kFullTable / 2;
-    if (outcome != Outcome::kOk && outcome != Outcome::kReset && outcome != Outcome::kTimeout) return;
-    const double failed = outcome == Outcome::kOk ? 0 : 1;
-    double& share = attempt.idle == 0 ? lost_ : stale_;
-    share += kGain * (failed - share);
-    if (failed == 0 || attempt.idle == 0 || stale_ < lost_ + kStaleAbove) return;
-    keep_ = std::min(keep(), std::max(attempt.idle / kKeepCut, set_.tick));
-    keep_at_ = now_;
+  // are lost more often than on fresh ones. Where it errs it costs handshakes. A call lost on one tells of
+  // the connection only once the destination has served a fresh one sent since, as fast as it does: in a hang
+  // or a slow spell all calls are lost, most of them on idle connections because most calls go on these.
+  void learn_idle(const AttemptEnded& e, const Attempt& attempt, Kind& k, Lane& l) {
+    if (e.outcome == Outcome::kOk) k.unconnected *= 1 - kFullTable / 2;
+    const bool broken = e.outcome == Outcome::kReset || e.outcome == Outcome::kTimeout;
+    if (attempt.idle > 0 && broken && l.out_since == 0) {
+      l.doubted.push_back({attempt.sent, attempt.idle});
+      if (l.doubted.size() > kDoubts) l.doubted.erase(l.doubted.begin());
+    } else if (attempt.idle > 0 && e.outcome == Outcome::kOk) {
+      stale_ -= kGain * stale_;
+    } else if (attempt.idle == 0 && (broken || e.outcome == Outcome::kOk)) {
+      lost_ += kGain * ((broken ? 1 : 0) - lost_);
+      if (!broken && e.took <= kSlowLeast) blame_idle(attempt, l);
+      std::erase_if(l.doubted, [&](const Doubt& doubt) { return doubt.sent <= attempt.sent; });
+    } else if (e.outcome == Outcome::kConnectFailed) {
+      l.doubted.clear();  // it was the destination
+    }
+  }
+
+  void blame_idle(const Attempt& served, const Lane& l) {
+    for (const Doubt& doubt : l.doubted) {
+      if (doubt.sent > served.sent) continue;
+      stale_ += kGain * (1 - stale_);
+      if (stale_ < lost_ + kStaleAbove) continue;
+      keep_ = std::min(keep(), std::max(doubt.idle / kKeepCut, set_.tick));
+      keep_at_ = now_;
+    }
   }
 
   void avoid(Host& host) {
@@ -545,6 +578,7 @@
     l.out_since = now_;
     l.back_since = 0;
     l.suspected = suspected;
+    l.doubted.clear();
     l.cold = {seconds(random_.between(0, kSecond)), now_};
     l.probe_ok = false;
     log(l, std::string("outage, ") + evidence +
