--- a/bench/journal_bench.cpp
+++ b/bench/journal_bench.cpp
@@ -12,6 +12,7 @@
 #include <string>
 #include <vector>
 
+#include "earlier_journal.h"
 #include "state/journal.h"
 
 namespace {
@@ -29,7 +30,12 @@
 Handed message(uint64_t number, size_t body) {
   char id[17];
   std::snprintf(id, sizeof id, "%016llx", static_cast<unsigned long long>(number));
-  return {id, "order-update", id, 7, 0, std::string(body, 'x')};
+  Handed out;
+  out.id = out.key = id;
+  out.message_class = "order-update";
+  out.destination = 7;
+  out.body.assign(body, 'x');
+  return out;
 }
 
 class Folder {
@@ -44,35 +50,55 @@
   std::unique_ptr<Files> files;
 };
 
+// The journal of segments, and the one before it, under the same hands.
+struct Segments {
+  Segments(Folder& folder, size_t disk) : journal(*folder.files, {disk, "n0", 6, 1}) {}
+  void tidy() { journal.tidy(64 * 1024); }
+  size_t written() const { return journal.written_bytes(); }
+  static constexpr const char* kName = "segments";
+  Journal journal;
+};
+struct Earlier {
+  Earlier(Folder& folder, size_t disk) : journal(folder.path, disk) {}
+  void tidy() {}
+  size_t written() const { return 0; }  // it does not count
+  static constexpr const char* kName = "earlier";
+  umberhoist::earlier::Journal journal;
+};
+
+template <class Kept>
 void cycles(size_t disk, size_t body, int count) {
   Folder folder;
-  Journal journal(*folder.files, {disk, "n0", 6, 1});
+  Kept kept(folder, disk);
+  auto& journal = kept.journal;
   const double cpu = seconds(CLOCK_PROCESS_CPUTIME_ID), wall = seconds(CLOCK_MONOTONIC);
   for (int i = 0; i < count; ++i) {
     const Handed m = message(static_cast<uint64_t>(i), body);
     if (!journal.accepted(m, i) || !journal.attempt(m.id, 0, i, 0)) std::abort();
     journal.done(m.id);
-    journal.tidy(64 * 1024);
+    kept.tidy();
   }
   std::printf(
-      "cycle of %zu-byte bodies on %.0f MB: %.2f us CPU, %.0f a second, %.2f bytes written for each of "
+      "%s: cycle of %zu-byte bodies on %.0f MB: %.2f us CPU, %.0f a second, %.2f bytes written for each of "
       "bodies\n",
-      body, static_cast<double>(disk) / 1e6, (seconds(CLOCK_PROCESS_CPUTIME_ID) - cpu) / count * 1e6,
-      count / (seconds(CLOCK_MONOTONIC) - wall),
-      static_cast<double>(journal.written_bytes()) / (static_cast<double>(body) * count));
+      Kept::kName, body, static_cast<double>(disk) / 1e6,
+      (seconds(CLOCK_PROCESS_CPUTIME_ID) - cpu) / count * 1e6, count / (seconds(CLOCK_MONOTONIC) - wall),
+      static_cast<double>(kept.written()) / (static_cast<double>(body) * count));
 }
 
 // So many live messages, the oldest or any of them ending as new ones come.
+template <class Kept>
 void held(size_t disk, size_t body, size_t live, bool oldest_first) {
   Folder folder;
   std::mt19937_64 random(3);
   const size_t before = heap();
-  auto journal = std::make_unique<Journal>(*folder.files, JournalOptions{disk, "n0", 6, 1});
+  Kept kept(folder, disk);
+  auto* const journal = &kept.journal;
   std::vector<uint64_t> alive;
   uint64_t next = 0;
   while (alive.size() < live && journal->accepted(message(next, body), 1)) alive.push_back(next++);
   const double each = static_cast<double>(heap() - before) / static_cast<double>(alive.size()) - 8;
-  const size_t written = journal->written_bytes();
+  const size_t written = kept.written();
   double longest = 0;
   size_t turns = 0, at = 0;
   for (size_t i = 0; i < 2 * live; ++i) {
@@ -80,16 +106,17 @@
     const double begin = seconds(CLOCK_MONOTONIC);
     journal->done(message(alive[victim], 0).id);
     if (!journal->accepted(message(next, body), 1)) break;
-    journal->tidy(64 * 1024);
+    kept.tidy();
     longest = std::max(longest, seconds(CLOCK_MONOTONIC) - begin);
     alive[victim] = next++;
     ++turns;
   }
   std::printf(
-      "%zu live of %zu bytes on %.0f MB, %s ends: %.0f bytes of memory each, %.2f bytes written for each of "
-      "bodies, longest turn %.2f ms, %zu turns\n",
-      alive.size(), body, static_cast<double>(disk) / 1e6, oldest_first ? "the oldest" : "any", each,
-      static_cast<double>(journal->written_bytes() - written) /
+      "%s: %zu live of %zu bytes on %.0f MB, %s ends: %.0f bytes of memory each, %.2f bytes written for each "
+      "of bodies, longest turn %.2f ms, %zu turns\n",
+      Kept::kName, alive.size(), body, static_cast<double>(disk) / 1e6, oldest_first ? "the oldest" : "any",
+      each,
+      static_cast<double>(kept.written() - written) /
           (static_cast<double>(body * std::max<size_t>(1, turns))),
       longest * 1e3, turns);
 }
@@ -117,11 +144,15 @@
 }  // namespace
 
 int main() {
-  cycles(3'000'000, 200, 200'000);
-  cycles(3'000'000, 2000, 100'000);
-  held(400'000'000, 2000, 100'000, true);
-  held(400'000'000, 2000, 100'000, false);
-  held(3'000'000, 500, 2000, true);
-  held(3'000'000, 500, 2000, false);
+  cycles<Earlier>(3'000'000, 200, 200'000);
+  cycles<Segments>(3'000'000, 200, 200'000);
+  cycles<Earlier>(3'000'000, 2000, 100'000);
+  cycles<Segments>(3'000'000, 2000, 100'000);
+  for (const bool oldest_first : {true, false}) {
+    held<Earlier>(3'000'000, 500, 2000, oldest_first);
+    held<Segments>(3'000'000, 500, 2000, oldest_first);
+    held<Earlier>(400'000'000, 2000, 100'000, oldest_first);
+    held<Segments>(400'000'000, 2000, 100'000, oldest_first);
+  }
   start(1'000'000);
 }
--- /dev/null
+++ b/ctl/main.cpp
@@ -0,0 +1,36 @@
+// The command line of umberhoistctl.
+#include <CLI/CLI.hpp>
+#include <iostream>
+
+#include "ctl/journal.h"
+
+int main(int argc, char** argv) {
+  using namespace umberhoist::ctl;
+  CLI::App app{"Looks at what a relay keeps. Nothing is changed."};
+  app.require_subcommand(1);
+  auto* journal = app.add_subcommand("journal", "the state folder");
+  journal->require_subcommand(1);
+  std::string folder;
+  bool as_json = false;
+  auto* check =
+      journal->add_subcommand("check", "is it whole? Exit status 0: yes, 1: no, 2: it cannot be read");
+  check->add_option("folder", folder, "the state folder")->required();
+  check->add_flag("--json", as_json, "one JSON object in place of lines");
+  Dump what;
+  auto* dump =
+      journal->add_subcommand("dump", "its records, one JSON object a line, in the order of reading");
+  dump->add_option("folder", what.folder, "the state folder")->required();
+  dump->add_flag("--live", what.live, "only messages that are alive, as a start would resume them");
+  dump->add_flag("--bodies", what.bodies, "with their bodies, in hexadecimal");
+  dump->add_option("--segment", what.segment, "only this segment's records, by number");
+  dump->add_option("--id", what.id, "only this message's");
+  app.footer(
+      "Examples:\n  umberhoistctl journal check /run/state\n  umberhoistctl journal dump --live /run/state");
+  try {
+    app.parse(argc, argv);
+  } catch (const CLI::ParseError& error) {
+    return app.exit(error) == 0 ? 0 : 2;
+  }
+  return check->parsed() ? check_journal(folder, as_json, std::cout, std::cerr)
+                         : dump_journal(what, std::cout, std::cerr);
+}
--- a/relay/config.cpp
+++ b/relay/config.cpp
@@ -59,6 +59,11 @@
   if (out.sockets < 64) throw std::invalid_argument("limits.sockets is under 64");
   if (!(disk_mb > 0 && disk_mb < 1e6)) throw std::invalid_argument("limits.disk_mb is out of range");
   out.disk_bytes = static_cast<size_t>(disk_mb * 1e6);
+  const std::string durability = root.value("durability", "process");
+  if (durability != "process" && durability != "group") {
+    throw std::invalid_argument("durability is '" + durability + "'; expected process or group");
+  }
+  if (durability == "group") out.durability = umberhoist::state::Durability::kGroup;
   const json& settings = root.at("settings");
   out.settings = parse_settings(flatten(settings));
   out.names.zones = settings.at("azs").get<std::vector<std::string>>();
--- a/relay/config.h
+++ b/relay/config.h
@@ -7,6 +7,7 @@
 #include <vector>
 
 #include "directory.h"
+#include "state/journal.h"
 
 namespace firspool::relay {
 
@@ -18,6 +19,7 @@
   uint64_t seed = 0;
   size_t sockets = 1024;
   size_t disk_bytes = 0;
+  umberhoist::state::Durability durability = umberhoist::state::Durability::kProcess;
   Settings settings;
   ListNames names;
   std::vector<std::string> report_fields;
--- a/relay/main.cpp
+++ b/relay/main.cpp
@@ -33,6 +33,7 @@
 int main() {
   try {
     std::signal(SIGPIPE, SIG_IGN);
+    std::signal(SIGXFSZ, SIG_IGN);  // a file that may not grow is a write that fails, like any other
     boost::asio::io_context io(1);
     boost::asio::signal_set signals(io, SIGTERM, SIGINT, SIGHUP);
     firspool::relay::Relay relay(io, firspool::relay::load_config(), [](const auto& address) {
--- a/relay/relay.cpp
+++ b/relay/relay.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <boost/asio/post.hpp>
 #include <cstdio>
+#include <limits>
 #include <nlohmann/json.hpp>
 
 namespace firspool::relay {
@@ -14,13 +15,17 @@
 const std::string kRevision = "revision";
 const std::string kDestinations = "destinations";
 
-const std::string kBusy = "-BUSY 500";  // no room: some messages end within that time
+const std::string kTaken = "+OK";
 
 constexpr Time kMs = 1000;
 constexpr Time kServeOn = 500 * kMs;    // after SIGTERM: new connections still come for a while
 constexpr Time kLastCall = 3500 * kMs;  // SIGKILL follows 3.7 s after SIGTERM at the soonest
 constexpr Time kStopPoll = 50 * kMs;
-constexpr Time kRecordAgain = 20 * kMs;   // a notice that the disk did not take
+constexpr Time kRecordAgain = 20 * kMs;  // a notice that the disk did not take
+constexpr Time kBusyLeast = 100 * kMs;   // told where there is no room
+constexpr Time kBusyMost = 2000 * kMs;
+constexpr Time kFirstEndAge =
+    100 * kMs;  // a flood that is turned away is not to search all that is held each time
 constexpr size_t kTidyBytes = 64 * 1024;  // copied forward in one turn at most
 constexpr Time kFirstWord = 300 * kMs;    // discovery answers at once, unless it is down
 constexpr Time kClockSlack = 100 * kMs;   // clients round what they measure
@@ -57,15 +62,20 @@
 }  // namespace
 
 Relay::Relay(boost::asio::io_context& io, const Config& config,
-             std::function<void(const tcp::endpoint&)> listening)
+             std::function<void(const tcp::endpoint&)> listening,
+             std::unique_ptr<umberhoist::state::Files> files)
     : io_(io),
       config_(config),
-      files_(umberhoist::state::real_files(config.state)),
-      journal_(*files_, {config.disk_bytes, config.name, config.settings.max_attempts, 0}),
+      files_(files ? std::move(files) : umberhoist::state::real_files(config.state)),
+      journal_(*files_, {config.disk_bytes, config.name, config.settings.max_attempts, 0, config.durability}),
       policy_(config.settings, config.seed),
+      room_(kBusyLeast, config.settings.max_retry_after > 0
+                            ? std::clamp(config.settings.max_retry_after, kBusyLeast, kBusyMost)
+                            : kBusyMost),
       wake_timer_(io),
       stop_timer_(io),
       record_timer_(io),
+      sync_timer_(io),
       notices_(io, config.discovery, [this](const std::string& id) { journal_.done(id); }),
       upstream_(
           io, upstream_limits(config), config.report_fields,
@@ -81,6 +91,7 @@
           [this](const HostList& list) { told(list); }, [this] { open(); }),
       listening_(std::move(listening)),
       open_timer_(io) {
+  if (config.durability == umberhoist::state::Durability::kGroup) syncer_.emplace(1);
   recall();
   told(config_.known);
   open_timer_.expires_after(std::chrono::microseconds(kFirstWord));
@@ -192,9 +203,21 @@
   });
 }
 
+// No room for it: the module has no say in that. Says when some is likely.
+std::string Relay::busy(size_t bytes) {
+  const Time now = steady_now();
+  if (first_end_at_ == 0 || now - first_end_at_ > kFirstEndAge) {
+    first_end_ = std::numeric_limits<Time>::max();
+    for (const auto& [number, held] : held_) first_end_ = std::min(first_end_, held.due);
+    first_end_at_ = now;
+  }
+  return "-BUSY " + std::to_string((room_.wait(now, bytes, first_end_) + kMs - 1) / kMs);
+}
+
 void Relay::put(Handed handed, Clients::Answer answer) {
   if (const auto number = numbers_.find(handed.id); number != numbers_.end()) {  // sent once more
-    if (held_.at(number->second).accepted) return answer("+OK");
+    const Held& held = held_.at(number->second);
+    if (held.accepted) return answer_taken(held.safe_at, std::move(answer));
     pending_.push_back({number->second, std::move(answer)});
     return;
   }
@@ -205,7 +228,7 @@
   if (handed.life > settings.give_up + kClockSlack) return answer("-ERR d is too long");
   if (!config_.settings.tenants.empty() && tenant_of(handed.tenant) < 0) return answer("-ERR unknown tenant");
   if (!directory_.known(handed.destination)) return answer("-ERR unknown destination");
-  if (held_.size() >= static_cast<size_t>(config_.settings.max_open)) return answer(kBusy);
+  if (held_.size() >= static_cast<size_t>(config_.settings.max_open)) return answer(busy(handed.body.size()));
   const uint64_t number = ++last_number_;
   Arrival in;
   in.id = number;
@@ -274,13 +297,23 @@
 
 // The last look before a call's first byte. While its connection came up the host may have been drained, its
 // destination may have told another call to wait, or the message may be over.
-bool Relay::may_start(const Call& call) {
-  const auto held = held_.find(call.id);
+Upstream::Start Relay::may_start(const Call& call) {
+  using Start = Upstream::Start;
+  const auto it = held_.find(call.id);
   const ListedHost* host = directory_.find(call.endpoint);
-  if (held == held_.end() || !directory_.active(call.endpoint) || steady_now() > call.start_by) return false;
+  if (it == held_.end() || !directory_.active(call.endpoint)) return Start::kNo;
+  if (steady_now() > call.start_by) return Start::kNo;
   const auto wait = waits_.find(lane_of(host->member));
-  if (wait != waits_.end() && wait->second > steady_now()) return false;
-  return journal_.attempt(held->second.handed.id, call.attempt, wall_now(), host->member.zone);
+  if (wait != waits_.end() && wait->second > steady_now()) return Start::kNo;
+  Held& held = it->second;
+  if (held.recorded != call.attempt) {
+    if (!journal_.attempt(held.handed.id, call.attempt, wall_now(), host->member.zone)) return Start::kNo;
+    held.recorded = call.attempt;
+    held.safe_at = journal_.position();
+  }
+  if (journal_.durable(held.safe_at)) return Start::kYes;
+  sync();
+  return Start::kLater;
 }
 
 void Relay::ended(const AttemptEnded& end, bool began) {
@@ -295,7 +328,7 @@
   if (held != held_.end()) {
     if (end.final) {
       finish(end.id, {});
-    } else if (began && never) {
+    } else if (never && (began || held->second.recorded == end.attempt)) {
       journal_.never_ran(held->second.handed.id, end.attempt);
     }
   }
@@ -319,6 +352,7 @@
   answer_pending(actions);
   for (const Action& action : actions) carry_out(action);
   journal_.tidy(kTidyBytes);
+  sync();
   arm();
 }
 
@@ -340,7 +374,7 @@
   pending.swap(pending_);
   std::map<uint64_t, std::string> answers;  // one for all who handed the same message in
   for (const Pending& item : pending) {
-    const auto [line, fresh] = answers.try_emplace(item.number, "+OK");
+    const auto [line, fresh] = answers.try_emplace(item.number, kTaken);
     const auto held = held_.find(item.number);
     if (fresh && held != held_.end()) {
       const Handed& handed = held->second.handed;
@@ -348,8 +382,9 @@
         line->second = away->second;
       } else if (journal_.accepted(handed, wall_now() + held->second.due - steady_now())) {
         held->second.accepted = true;
+        held->second.safe_at = journal_.position();
       } else {
-        line->second = kBusy;  // no room on the disk
+        line->second = busy(handed.body.size());  // no room on the disk
         happened(Withdrawn{item.number});
       }
       if (!held->second.accepted) {
@@ -357,10 +392,50 @@
         held_.erase(held);
       }
     }
-    item.answer(line->second);
+    if (line->second == kTaken && held != held_.end()) {
+      answer_taken(held->second.safe_at, item.answer);
+    } else {
+      item.answer(line->second);
+    }
   }
 }
 
+void Relay::answer_taken(uint64_t position, Clients::Answer answer) {
+  if (journal_.durable(position)) return answer(kTaken);
+  unanswered_.push_back({position, std::move(answer)});
+}
+
+// One sync for all that was written meanwhile; nothing waits where the process's end is all there is to fear.
+void Relay::sync() {
+  if (!syncer_ || !journal_.sync_wanted() || sync_failed_) return;
+  boost::asio::post(*syncer_, [this, sync = journal_.begin_sync()] {
+    const bool good = umberhoist::state::Journal::carry_out(*files_, sync);
+    boost::asio::post(io_, [this, sync, good] { synced(sync, good); });
+  });
+}
+
+void Relay::synced(const umberhoist::state::Journal::Sync& sync, bool good) {
+  journal_.end_sync(sync, good);
+  if (!good) {
+    std::fprintf(stderr, "journal: the disk did not take a sync: nothing is answered until it does\n");
+    sync_failed_ = true;
+    sync_timer_.expires_after(std::chrono::microseconds(kRecordAgain));
+    sync_timer_.async_wait([this](const boost::system::error_code& error) {
+      if (error) return;
+      sync_failed_ = false;
+      this->sync();
+    });
+    return;
+  }
+  while (!unanswered_.empty() && journal_.durable(unanswered_.front().position)) {
+    unanswered_.front().value(kTaken);
+    unanswered_.pop_front();
+  }
+  send_notices();
+  upstream_.proceed();
+  this->sync();
+}
+
 void Relay::carry_out(const Action& action) {
   if (const auto* send = std::get_if<Send>(&action)) {
     const auto held = held_.find(send->id);
@@ -419,17 +494,26 @@
   } else {
     journal_.done(held->second.handed.id);
   }
+  room_.ended(steady_now(), held->second.handed.body.size());
   numbers_.erase(held->second.handed.id);
   held_.erase(held);
 }
 
+void Relay::send_notices() {
+  while (!unsent_.empty() && journal_.durable(unsent_.front().position)) {
+    notices_.add(std::move(unsent_.front().value));
+    unsent_.pop_front();
+  }
+}
+
 // A notice is sent once it is recorded: its client may come again on it, and a restart must not send what it
 // ended.
 void Relay::record_notices() {
   while (!unrecorded_.empty() && journal_.owed(unrecorded_.front())) {
-    notices_.add(std::move(unrecorded_.front()));
+    unsent_.push_back({journal_.position(), std::move(unrecorded_.front())});
     unrecorded_.pop_front();
   }
+  send_notices();
   if (unrecorded_.empty()) return;
   record_timer_.expires_after(std::chrono::microseconds(kRecordAgain));
   record_timer_.async_wait([this](const boost::system::error_code& error) {
@@ -462,7 +546,7 @@
     closed_ = true;
     if (clients_) clients_->finish();
   }
-  const bool idle = held_.empty() && notices_.empty() && unrecorded_.empty();
+  const bool idle = held_.empty() && notices_.empty() && unrecorded_.empty() && unsent_.empty();
   if (age >= kLastCall || (closed_ && idle)) return io_.stop();
   stop_timer_.expires_after(std::chrono::microseconds(kStopPoll));
   stop_timer_.async_wait([this](const boost::system::error_code& error) {
--- a/relay/relay.h
+++ b/relay/relay.h
@@ -4,6 +4,7 @@
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
+#include <boost/asio/thread_pool.hpp>
 #include <deque>
 #include <functional>
 #include <map>
@@ -13,6 +14,7 @@
 #include <unordered_map>
 #include <vector>
 
+#include "admission/room.h"
 #include "clients.h"
 #include "config.h"
 #include "directory.h"
@@ -25,9 +27,10 @@
 class Relay {
  public:
   // Reads the journal, hears discovery if it answers, then opens the listener and says so. Throws
-  // std::exception where it cannot serve.
+  // std::exception where it cannot serve. `files`: in place of the folder that the configuration names.
   Relay(boost::asio::io_context& io, const Config& config,
-        std::function<void(const tcp::endpoint&)> listening);
+        std::function<void(const tcp::endpoint&)> listening,
+        std::unique_ptr<umberhoist::state::Files> files = nullptr);
 
   // Takes the new configuration's discovery over; the rest of it holds from the next start on.
   void reload(const Config& config);
@@ -41,6 +44,13 @@
     Time due = 0;
     int attempts = 0;
     bool accepted = false;  // its record is written
+    uint64_t safe_at = 0;   // the journal's position that its acceptance, and its last attempt, are safe at
+    int recorded = -1;      // the last attempt with a record
+  };
+  template <class Value>
+  struct Unsafe {  // waits until the journal is durable up to its position
+    uint64_t position = 0;
+    Value value;
   };
   struct Pending {  // handed in during this turn, not yet decided on
     uint64_t number = 0;
@@ -55,9 +65,10 @@
   void forget_gone(const Endpoint& endpoint);
   int class_of(const std::string& name) const;
   int tenant_of(const std::string& name) const;
+  std::string busy(size_t bytes);
   void put(Handed handed, Clients::Answer answer);
   void told(const HostList& list);
-  bool may_start(const Call& call);
+  Upstream::Start may_start(const Call& call);
   void ended(const AttemptEnded& end, bool began);
   void back(const Endpoint& endpoint);
   void happened(Event event);
@@ -66,6 +77,10 @@
   void carry_out(const Action& action);
   void finish(uint64_t number, std::optional<Notice> notice);
   void record_notices();
+  void send_notices();
+  void answer_taken(uint64_t position, Clients::Answer answer);
+  void sync();
+  void synced(const umberhoist::state::Journal::Sync& sync, bool good);
   void arm();
   void wait_for_end();
   std::pair<int, Endpoint> lane_of(const Member& member) const;
@@ -82,6 +97,9 @@
   uint64_t last_number_ = 0;
   std::unordered_map<uint64_t, Held> held_;
   std::unordered_map<std::string, uint64_t> numbers_;
+  umberhoist::admission::RoomForecast room_;
+  Time first_end_ = 0;                              // of those held, as it was
+  Time first_end_at_ = 0;                           // at this time
   std::map<std::pair<int, Endpoint>, Time> waits_;  // told waits: until when nothing goes there
   std::map<Endpoint, int> out_;                     // calls and probes out
   Time wake_ = 0;                                   // when the module wants to be asked again; 0: never
@@ -92,12 +110,18 @@
   bool closed_ = false;            // clients were let go
   std::deque<Notice> unrecorded_;  // not sent: they could not be written yet
   boost::asio::steady_timer record_timer_;
+  std::deque<Unsafe<Clients::Answer>> unanswered_;
+  std::deque<Unsafe<Notice>> unsent_;
+  bool sync_failed_ = false;
+  boost::asio::steady_timer sync_timer_;
   Notices notices_;
   Upstream upstream_;
   Watch watch_;
   std::function<void(const tcp::endpoint&)> listening_;
   boost::asio::steady_timer open_timer_;
   std::optional<Clients> clients_;  // once what was taken on before is resumed
+  std::optional<boost::asio::thread_pool>
+      syncer_;  // with group durability; the last to come, the first to go
 };
 
 }  // namespace firspool::relay
--- a/relay/upstream.cpp
+++ b/relay/upstream.cpp
@@ -112,6 +112,10 @@
     timer_.cancel();
   }
 
+  void proceed() {
+    if (!over_) write();
+  }
+
  private:
   // A second answer right behind the first would be taken for this call's: it shows before the call is
   // written.
@@ -161,7 +165,12 @@
 
   void write() {
     // The connection took its time: what was told meanwhile counts.
-    if (!probe_ && !owner_->may_start_(call_)) {
+    const Start start = probe_ ? Start::kYes : owner_->may_start_(call_);
+    if (start == Start::kLater) {
+      owner_->later_.push_back(shared_from_this());
+      return;
+    }
+    if (start == Start::kNo) {
       idle_ = true;
       return finish(Outcome::kMoot);
     }
@@ -361,6 +370,10 @@
   exchange->start();
 }
 
+void Upstream::proceed() {
+  for (const auto& exchange : std::exchange(later_, {})) exchange->proceed();
+}
+
 void Upstream::cancel(uint64_t id, int attempt) {
   const auto it = exchanges_.find({false, id, attempt});
   if (it == exchanges_.end()) return;
--- a/relay/upstream.h
+++ b/relay/upstream.h
@@ -35,8 +35,10 @@
     size_t most_open = 256;  // connections, with a call on them or idle
     Time most_wait = 0;      // a longer told wait is held to this
   };
-  // Asked right before a call's first byte: a call that may no longer start ends as kMoot.
-  using MayStart = std::function<bool(const Call&)>;
+  // Asked right before a call's first byte: a call that may no longer start ends as kMoot, one that may not
+  // yet is asked for again by `proceed`.
+  enum class Start { kYes, kNo, kLater };
+  using MayStart = std::function<Start(const Call&)>;
   using Ended = std::function<void(const AttemptEnded&, bool began)>;  // began: MayStart allowed it
   using Probed = std::function<void(const ProbeEnded&)>;
 
@@ -48,6 +50,7 @@
   void cancel(uint64_t id, int attempt);
   void probe(const Endpoint& endpoint, const tcp::endpoint& address);
   void close_idle(const Endpoint& endpoint);
+  void proceed();
   size_t out() const { return exchanges_.size(); }
 
  private:
@@ -74,6 +77,7 @@
   size_t idle_count_ = 0;
   std::map<Endpoint, std::vector<Idle>> idle_;  // the most recently used last
   std::map<std::tuple<bool, uint64_t, int>, std::shared_ptr<Exchange>> exchanges_;
+  std::vector<std::shared_ptr<Exchange>> later_;  // that may not start yet
 };
 
 }  // namespace firspool::relay
--- a/state/files.h
+++ b/state/files.h
@@ -28,10 +28,18 @@
   virtual bool truncate(int file, size_t size) = 0;
   virtual bool rename(const std::string& from, const std::string& to) = 0;
   virtual bool remove(const std::string& name) = 0;
+  // Only then a power loss leaves it: a file's bytes; and which files there are, under which names. The first
+  // may be called by another thread than all else, for a file that is not closed meanwhile.
+  virtual bool sync(int file) = 0;
+  virtual bool sync_folder() = 0;
+  // What is read next comes from the disk: after a failed sync of an earlier process it may not be what that
+  // one had written, though it can be read.
+  virtual void forget(int file) = 0;
   virtual void close(int file) = 0;
 };
 
-// Throws std::runtime_error if the folder cannot be used.
-std::unique_ptr<Files> real_files(const std::filesystem::path& folder);
+// Throws std::runtime_error if the folder cannot be used. `only_read`: nothing in it is ever changed, and all
+// that would change it fails.
+std::unique_ptr<Files> real_files(const std::filesystem::path& folder, bool only_read = false);
 
 }  // namespace umberhoist::state
--- a/state/journal.cpp
+++ b/state/journal.cpp
@@ -5,6 +5,7 @@
 #include <cstdio>
 #include <random>
 #include <stdexcept>
+#include <utility>
 
 namespace umberhoist::state {
 namespace {
@@ -54,13 +55,32 @@
 Journal::Journal(Files& files, JournalOptions options)
     : files_(files),
       options_(std::move(options)),
-      segment_bytes_(std::max(kLeastSegment, options_.disk / kSegments)),
+      segment_bytes_(std::max(kLeastSegment, std::min(kMostSegment, options_.disk / kSegments))),
       next_salt_(options_.seed != 0 ? options_.seed
                                     : (uint64_t{std::random_device{}()} << 32) | std::random_device{}()) {
+  if (options_.durability == Durability::kGroup) settle_folder();
   read_all();
+  touched_.clear();
+  folder_dirty_ = folder_dirty_ || !findings_.lines.empty();
 }
 
-Journal::~Journal() { close_segment(); }
+// What a killed process wrote may not be on the disk yet, and is about to be built on.
+void Journal::settle_folder() {
+  for (const std::string& name : files_.list()) {
+    if (!number_of(name)) continue;
+    const int file = files_.open(name);
+    const bool good = file >= 0 && files_.sync(file);
+    if (good) files_.forget(file);
+    if (file >= 0) files_.close(file);
+    if (!good) throw std::runtime_error(name + " of the state folder cannot be synced to the disk");
+  }
+  if (!files_.sync_folder()) throw std::runtime_error("the state folder cannot be synced to the disk");
+}
+
+Journal::~Journal() {
+  close_segment();
+  for (const int file : closing_) files_.close(file);
+}
 
 // ---- Reading ----
 
@@ -103,7 +123,7 @@
       strange[number] = "it belongs to relay " + header->owner;
     } else {
       segment.salt = header->salt;
-      segments_[number] = std::move(segment);
+      add_segment(number, std::move(segment));
     }
   }
   last_number_ = numbers.empty() ? 0 : *numbers.rbegin();
@@ -121,7 +141,8 @@
     }
     const int file = files_.open(name);
     if (file < 0) continue;
-    aside_ += counted(static_cast<size_t>(std::max<ssize_t>(0, files_.size(file))));
+    others_[name] = static_cast<size_t>(std::max<ssize_t>(0, files_.size(file)));
+    aside_ += counted(others_[name]);
     files_.close(file);
   }
   if (legacy) carry_over();
@@ -129,6 +150,12 @@
   std::map<uint64_t, Entry> orphans;
   findings_.segments = segments_.size();
   for (const auto& [number, segment] : segments_) read_segment(number, orphans);
+  for (const Damage& damage : damages_) {
+    const std::string kept = keep_damage(damage);
+    findings_.lines.push_back(text("%s: %zu bytes at %zu cannot be read; what follows them is read%s",
+                                   damage.segment.c_str(), damage.bytes, damage.at,
+                                   kept.empty() ? "" : ("; they are kept as " + kept).c_str()));
+  }
   findings_.orphans = orphans.size();
   if (!orphans.empty()) {
     findings_.lines.push_back(
@@ -148,6 +175,33 @@
   files_.rename(name, kAside + name);
 }
 
+// For a person to look at: its segment goes in time. Only where there is room to spare, and only a part of
+// it.
+std::string Journal::keep_damage(const Damage& damage) {
+  const std::string name = text("%s%s-%zu", kAside, damage.segment.c_str(), damage.at);
+  if (const auto there = others_.find(name); there != others_.end() && there->second == damage.bytes)
+    return name;
+  const size_t bytes = counted(damage.bytes);
+  if (others_.contains(name) || aside_ + bytes > options_.disk / kAsidePart ||
+      used() + bytes + headroom() + 2 * segment_bytes_ > options_.disk) {
+    return "";
+  }
+  std::string read(damage.bytes, '\0');
+  const int from = files_.open(damage.segment);
+  const ssize_t got = from < 0 ? -1 : files_.read(from, damage.at, read.data(), read.size());
+  if (from >= 0) files_.close(from);
+  if (got != static_cast<ssize_t>(read.size())) return "";
+  const int to = files_.create(name);
+  const bool good = to >= 0 && append_all(files_, to, read);
+  if (to >= 0) files_.close(to);
+  if (!good) {
+    files_.remove(name);
+    return "";
+  }
+  aside_ += bytes;
+  return name;
+}
+
 void Journal::read_segment(uint64_t number, std::map<uint64_t, Entry>& orphans) {
   const Segment& segment = segments_.at(number);
   const int file = files_.open(segment.name);
@@ -163,8 +217,7 @@
     } else {
       ++findings_.damages;
       findings_.damaged_bytes += item.bytes;
-      findings_.lines.push_back(text("%s: %zu bytes at %zu cannot be read; what follows them is read",
-                                     segment.name.c_str(), item.bytes, item.at));
+      damages_.push_back({segment.name, item.at, item.bytes});
     }
   }
   files_.close(file);
@@ -266,9 +319,11 @@
   for (const auto& [name, value] : legacy->facts)
     bytes += frame(header.salt, Kind::kFact, encode_fact(name, value));
   for (const Accepted& a : legacy->messages) bytes += frame(header.salt, Kind::kAccepted, encode(a));
+  const bool group = options_.durability == Durability::kGroup;
   const int file = files_.create(kCarryName);
-  const bool good = file >= 0 && append_all(files_, file, bytes);
+  bool good = file >= 0 && append_all(files_, file, bytes) && (!group || files_.sync(file));
   if (file >= 0) files_.close(file);
+  good = good && (!group || files_.sync_folder());
   Segment segment;
   segment.name = name_of(header.number);
   segment.salt = header.salt;
@@ -277,11 +332,11 @@
     files_.remove(kCarryName);
     throw std::runtime_error("no room in the state folder to carry the journal of an earlier version over");
   }
-  files_.remove(kLegacyName);
+  if (!group || files_.sync_folder()) files_.remove(kLegacyName);
   findings_.lines.push_back(
       text("the journal of an earlier version was carried over: %zu message(s), %zu fact(s)",
            legacy->messages.size(), legacy->facts.size()));
-  segments_[header.number] = std::move(segment);
+  add_segment(header.number, std::move(segment));
 }
 
 std::optional<Accepted> Journal::read_message(int file, const Entry& entry, std::string& payload) {
@@ -347,25 +402,33 @@
   entry.payload = static_cast<uint32_t>(payload);
   Segment& s = segments_.at(segment);
   s.messages.insert(order);
-  s.live += entry.copy;
+  relive(s, s.live + entry.copy);
   live_bytes_ += entry.copy;
+  touch(order);
 }
 
 void Journal::unplace(uint64_t order, const Entry& entry) {
   Segment& s = segments_.at(entry.segment);
   s.messages.erase(order);
-  s.live -= entry.copy;
+  s.emptied = written_;
+  relive(s, s.live - entry.copy);
   live_bytes_ -= entry.copy;
 }
 
 void Journal::grow(Entry& entry, size_t bytes) {
   entry.copy += static_cast<uint32_t>(bytes);
-  segments_.at(entry.segment).live += bytes;
+  Segment& s = segments_.at(entry.segment);
+  relive(s, s.live + bytes);
   live_bytes_ += bytes;
 }
 
+void Journal::touch(uint64_t order) {
+  if (options_.durability == Durability::kGroup) touched_.insert(order);
+}
+
 void Journal::erase(uint64_t order) {
   const auto it = entries_.find(order);
+  for (auto* set : {&touched_, &covered_, &doubtful_}) set->erase(order);
   unplace(order, it->second);
   if (const auto id = orders_.find(it->second.id); id != orders_.end() && id->second == order)
     orders_.erase(id);
@@ -382,7 +445,8 @@
   const size_t bytes = fact_bytes(name, it->second.value);
   if (const auto s = segments_.find(it->second.segment); s != segments_.end()) {
     s->second.facts.erase(name);
-    s->second.live -= bytes;
+    s->second.emptied = written_;
+    relive(s->second, s->second.live - bytes);
   }
   fact_bytes_ -= bytes;
   facts_.erase(it);
@@ -394,24 +458,35 @@
     return;  // the record that says so stands behind all that say otherwise, and goes after them
   facts_[name] = {value, segment};
   const size_t bytes = fact_bytes(name, value);
-  segments_.at(segment).facts.insert(name);
-  segments_.at(segment).live += bytes;
+  Segment& s = segments_.at(segment);
+  s.facts.insert(name);
+  relive(s, s.live + bytes);
   fact_bytes_ += bytes;
 }
 
 // ---- Room ----
 
-size_t Journal::used() const {
-  size_t out = aside_;
-  for (const auto& [number, segment] : segments_) out += counted(segment.size);
-  return out;
+size_t Journal::used() const { return aside_ + used_; }
+
+void Journal::add_segment(uint64_t number, Segment segment) {
+  used_ += counted(segment.size);
+  lives_.insert(segment.live);
+  segments_[number] = std::move(segment);
+}
+
+void Journal::resize(Segment& segment, size_t size) {
+  used_ += counted(size) - counted(segment.size);
+  segment.size = size;
 }
 
-// What the oldest segment's copies may take before it goes: kept free at all times.
+void Journal::relive(Segment& segment, size_t live) {
+  lives_.erase(lives_.find(segment.live));
+  lives_.insert(segment.live = live);
+}
+
+// What any segment's copies may take before it goes: kept free at all times.
 size_t Journal::headroom() const {
-  size_t most = 0;
-  for (const auto& [number, segment] : segments_) most = std::max(most, segment.live);
-  return most + 3 * (kHeaderBytes + kBlock);
+  return (lives_.empty() ? 0 : *lives_.rbegin()) + 3 * (kHeaderBytes + kBlock);
 }
 
 // A message is taken on if, once all that is dead has gone, it and whatever may follow for every live one
@@ -425,7 +500,11 @@
 }
 
 void Journal::close_segment() {
-  if (file_ >= 0) files_.close(file_);
+  if (file_ >= 0 && options_.durability == Durability::kGroup) {
+    closing_.push_back(file_);
+  } else if (file_ >= 0) {
+    files_.close(file_);
+  }
   file_ = -1;
 }
 
@@ -438,13 +517,14 @@
   segment.name = name_of(header.number);
   file_ = files_.create(segment.name);
   if (file_ < 0) return false;
+  folder_dirty_ = true;
   if (!append_all(files_, file_, encode(header))) {
-    close_segment();
+    files_.close(std::exchange(file_, -1));
     files_.remove(segment.name);
     return false;
   }
   segment.size = kHeaderBytes;
-  segments_[++last_number_] = std::move(segment);
+  add_segment(++last_number_, std::move(segment));
   return true;
 }
 
@@ -471,14 +551,14 @@
     // Part of a record costs the next start a scan, and a whole one would be believed: what was not claimed
     // goes.
     if (!files_.truncate(file_, last.size)) {
-      last.size = static_cast<size_t>(std::max<ssize_t>(0, files_.size(file_)));
+      resize(last, static_cast<size_t>(std::max<ssize_t>(0, files_.size(file_))));
       close_segment();
     }
     return false;
   }
   if (segment != nullptr) *segment = last_number_;
   if (at != nullptr) *at = last.size;
-  last.size += bytes;
+  resize(last, last.size + bytes);
   written_ += bytes;
   return true;
 }
@@ -524,7 +604,15 @@
   if (!copy_forward(oldest, static_cast<size_t>(-1))) return false;
   Segment& segment = segments_.at(oldest);
   if (!segment.messages.empty() || !segment.facts.empty()) return false;
+  // Its copies must be on the disk before it goes; and the one before it must have gone for good, or it might
+  // come back without the ends that stood in this one.
+  if (options_.durability == Durability::kGroup && (removed_ || !durable(segment.emptied)) && !sync_now()) {
+    return false;
+  }
   if (!files_.remove(segment.name)) return false;
+  folder_dirty_ = removed_ = true;
+  used_ -= counted(segment.size);
+  lives_.erase(lives_.find(segment.live));
   segments_.erase(oldest);
   return true;
 }
@@ -535,21 +623,119 @@
   const auto& [number, oldest] = *segments_.begin();
   const double share = static_cast<double>(used()) / static_cast<double>(std::max<size_t>(1, options_.disk));
   const bool dead = oldest.messages.empty() && oldest.facts.empty();
-  const bool worth = share > kTidyAbove && 2 * oldest.live < oldest.size;
+  const bool pressed = used() + headroom() + 2 * segment_bytes_ > options_.disk;
+  const bool worth = share > kTidyAbove &&
+                     (2 * oldest.live < oldest.size || (pressed && 10 * oldest.live < 9 * oldest.size));
   if (!dead && !worth) return false;
+  // With power loss in mind it goes once its copies are safe: a later turn may find that they are.
+  if (dead && (!durable(oldest.emptied) || (removed_ && options_.durability == Durability::kGroup)))
+    return false;
   if (!dead) {
     if (used() + oldest.live + headroom() > options_.disk) return false;  // the next append does what it must
     if (!copy_forward(number, bytes)) return false;
   }
-  if (segments_.begin()->second.messages.empty() && segments_.begin()->second.facts.empty())
-    return drop_oldest();
-  return true;
+  const Segment& first = segments_.begin()->second;
+  if (!first.messages.empty() || !first.facts.empty()) return true;
+  return options_.durability == Durability::kGroup && !dead ? true : drop_oldest();
+}
+
+// ---- Power loss ----
+
+bool Journal::sync_wanted() const {
+  return options_.durability == Durability::kGroup && !syncing_ &&
+         (synced_ < written_ || removed_ || !doubtful_.empty());
+}
+
+Journal::Sync Journal::begin_sync() {
+  rewrite_doubtful();
+  Sync out;
+  out.upto = written_;
+  out.files = closing_;
+  out.full = closing_.size();
+  if (file_ >= 0) out.files.push_back(file_);
+  out.folder = std::exchange(folder_dirty_, false);
+  out.whole = doubtful_.empty() && ends_.empty();
+  syncing_ = true;
+  covered_.swap(touched_);
+  covered_ends_.swap(touched_ends_);
+  return out;
+}
+
+bool Journal::carry_out(Files& files, const Sync& sync) {
+  bool good = true;
+  for (const int file : sync.files) good = files.sync(file) && good;
+  return (!sync.folder || files.sync_folder()) && good;
+}
+
+void Journal::end_sync(const Sync& sync, bool good) {
+  syncing_ = false;
+  for (size_t i = 0; i < sync.full; ++i) files_.close(sync.files[i]);
+  closing_.erase(closing_.begin(), closing_.begin() + static_cast<std::ptrdiff_t>(sync.full));
+  if (good) {
+    if (sync.whole) synced_ = sync.upto;
+    if (sync.folder && !folder_dirty_) removed_ = false;
+    covered_.clear();
+    covered_ends_.clear();
+    return;
+  }
+  // What a failed sync leaves in the files is not known, and another on them may succeed without having
+  // written it: all that is in doubt is written anew, to another segment, before anything more is claimed.
+  folder_dirty_ = true;
+  if (file_ >= 0) files_.close(std::exchange(file_, -1));
+  doubtful_.insert(covered_.begin(), covered_.end());
+  doubtful_.insert(touched_.begin(), touched_.end());
+  covered_.clear();
+  touched_.clear();
+  for (auto* ends : {&covered_ends_, &touched_ends_})
+    ends_.insert(ends_.end(), ends->begin(), ends->end()), ends->clear();
+}
+
+void Journal::rewrite_doubtful() {
+  // Within an append, perhaps: nothing here may make room.
+  const auto room_for_copy = [&](size_t bytes) { return used() + 2 * bytes + headroom() <= options_.disk; };
+  while (!ends_.empty()) {
+    if (!room_for_copy(kBlock) || !append(Kind::kDone, encode_done(ends_.front()), nullptr, nullptr, true))
+      return;
+    touched_ends_.push_back(ends_.front());
+    ends_.pop_front();
+  }
+  std::string payload;
+  while (!doubtful_.empty()) {
+    const uint64_t order = *doubtful_.begin();
+    Entry& entry = entries_.at(order);
+    const int file = files_.open(segments_.at(entry.segment).name);
+    const auto accepted = file >= 0 ? read_message(file, entry, payload) : std::nullopt;
+    if (file >= 0) files_.close(file);
+    const std::string copy = accepted ? encode(*accepted) : "";
+    uint64_t segment = 0;
+    size_t at = 0;
+    if (!accepted || !room_for_copy(copy.size()) || !append(Kind::kAccepted, copy, &segment, &at, true)) {
+      return;  // another time: until then nothing is claimed
+    }
+    unplace(order, entry);
+    place(order, entry, segment, at, copy.size());
+    doubtful_.erase(order);
+  }
+}
+
+// In this very turn, for want of room. Not beside another: whether that one failed would not be known.
+bool Journal::sync_now() {
+  if (syncing_) return false;
+  const Sync sync = begin_sync();
+  const bool good = carry_out(files_, sync);
+  end_sync(sync, good);
+  return good && sync.whole;
 }
 
 bool Journal::write_pending() {
   while (!ends_.empty()) {
-    if (!append(Kind::kDone, encode_done(ends_.front()))) return false;
+    const uint64_t order = ends_.front();
     ends_.pop_front();
+    if (!append(Kind::kDone, encode_done(order))) {
+      ends_.push_front(order);
+      return false;
+    }
+    if (options_.durability == Durability::kGroup) touched_ends_.push_back(order);
   }
   while (!stale_facts_.empty()) {
     const std::string name = *stale_facts_.begin();
@@ -598,6 +784,7 @@
     return false;
   entry->attempts.push_back({number, sent, zone, false});
   grow(*entry, kAttemptInCopy);
+  touch(order);
   return true;
 }
 
@@ -609,6 +796,7 @@
     if (t.number == number) t.never_ran = true;  // a copy says so, also if the record is not written
   }
   append(Kind::kNeverRan, encode_never_ran(order, number));
+  touch(order);
 }
 
 bool Journal::owed(const Notice& notice) {
@@ -617,6 +805,7 @@
   if (entry == nullptr) return true;  // it was over before
   if (!append(Kind::kOwed, encode_owed(order, notice.returned, notice.after))) return false;
   entry->owed = Owed{notice.returned, notice.after};
+  touch(order);
   return true;
 }
 
@@ -624,8 +813,8 @@
   uint64_t order = 0;
   if (find(id, order) == nullptr) return;
   erase(order);
-  if ((!ends_.empty() && !write_pending()) || !append(Kind::kDone, encode_done(order)))
-    ends_.push_back(order);
+  ends_.push_back(order);
+  write_pending();
 }
 
 bool Journal::remember(const std::string& name, const std::string& value) {
--- a/state/journal.h
+++ b/state/journal.h
@@ -31,11 +31,16 @@
   std::optional<Notice> owed;
 };
 
+// What an acceptance, an attempt and a notice are safe from once they are claimed: the end of the process, as
+// the platform has it; or power loss too, for which they wait until the disk has them.
+enum class Durability { kProcess, kGroup };
+
 struct JournalOptions {
   size_t disk = 0;        // bytes that all files of the folder may take, each counted in whole 512
   std::string owner;      // the relay's name: a segment of another's is not read
   int most_attempts = 6;  // of a message: room for them is kept aside
   uint64_t seed = 0;      // of the salts; 0: from the system
+  Durability durability = Durability::kProcess;
 };
 
 // What a start found beside whole records.
@@ -77,6 +82,28 @@
   // facts take no more than their part of the disk.
   bool remember(const std::string& name, const std::string& value);
 
+  // With kGroup: what was written up to here is safe once `durable` says so. One sync at a time is begun,
+  // carried out (each file, then the folder; by another thread, if that suits) and ended; a failed one has
+  // what it should have covered written again.
+  struct Sync {
+    uint64_t upto = 0;
+    std::vector<int> files;  // not closed before the end
+    size_t full = 0;         // of them, that take no more
+    bool folder = false;
+    bool whole = false;  // nothing is left in doubt by an earlier one
+  };
+  uint64_t position() const { return written_; }
+  bool durable(uint64_t position) const {
+    return options_.durability == Durability::kProcess || position <= synced_;
+  }
+  bool sync_wanted() const;
+  Sync begin_sync();
+  static bool carry_out(Files& files, const Sync& sync);
+  void end_sync(const Sync& sync, bool good);
+
+  // No end and no fact waits to be written.
+  bool caught_up() const { return ends_.empty() && stale_facts_.empty(); }
+
   // Copies up to so many bytes forward, if there is reason to. True: there is more to do.
   bool tidy(size_t bytes);
 
@@ -89,6 +116,8 @@
   static constexpr double kTidyAbove = 0.5;   // of the disk: below it, space is not worth a copy
   static constexpr size_t kSegments = 32;     // about so many make up the disk
   static constexpr size_t kLeastSegment = 4096;
+  static constexpr size_t kMostSegment = 256 * 1024;  // copied in one turn where an append is short of room
+  static constexpr size_t kAsidePart = 16;  // of the disk: damaged bytes are kept in this part at most
 
  private:
   struct Entry {  // all that is held of a live message: about 200 bytes with its id
@@ -111,14 +140,28 @@
     size_t live = 0;              // bytes that copies of what is alive in it would take
     std::set<uint64_t> messages;  // alive, with their newest copy here
     std::set<std::string> facts;
+    uint64_t emptied = 0;  // the position at which the last of it was copied or ended
+  };
+  struct Damage {
+    std::string segment;
+    size_t at = 0;
+    size_t bytes = 0;
   };
 
+  void settle_folder();
   void read_all();
   void read_segment(uint64_t number, std::map<uint64_t, Entry>& orphans);
   void apply(const SegmentReader::Item& item, uint64_t segment, std::map<uint64_t, Entry>& orphans);
   std::optional<Accepted> read_message(int file, const Entry& entry, std::string& payload);
   void set_aside(const std::string& name, const std::string& why);
   void carry_over();
+  std::string keep_damage(const Damage& damage);
+  void add_segment(uint64_t number, Segment segment);
+  void resize(Segment& segment, size_t size);
+  void relive(Segment& segment, size_t live);
+  bool sync_now();
+  void rewrite_doubtful();
+  void touch(uint64_t order);
 
   Entry* find(const std::string& id, uint64_t& order);
   void place(uint64_t order, Entry& entry, uint64_t segment, size_t at, size_t payload);
@@ -153,11 +196,25 @@
   std::map<std::string, FactEntry> facts_;
   size_t live_bytes_ = 0;  // of copies of all messages
   size_t fact_bytes_ = 0;
-  size_t aside_ = 0;                   // what other files of the folder take
-  std::deque<uint64_t> ends_;          // that could not be written yet
-  std::set<std::string> stale_facts_;  // whose newest value could not be written yet
+  size_t aside_ = 0;                      // what other files of the folder take
+  size_t used_ = 0;                       // what the segments take
+  std::multiset<size_t> lives_;           // of all segments
+  std::vector<Damage> damages_;           // found at the start
+  std::map<std::string, size_t> others_;  // of the folder at the start, and how long they are
+  std::deque<uint64_t> ends_;             // that could not be written yet
+  std::set<std::string> stale_facts_;     // whose newest value could not be written yet
   size_t copied_ = 0;
   size_t written_ = 0;
+  // With kGroup only.
+  uint64_t synced_ = 0;
+  std::vector<int> closing_;    // full segments whose files are to be synced before they are closed
+  std::set<uint64_t> touched_;  // messages with records that no sync has covered
+  bool folder_dirty_ = false;   // a segment was made or removed since the folder was synced
+  bool removed_ = false;        // one was removed: the next may go only after that
+  bool syncing_ = false;        // one is begun and not ended
+  std::set<uint64_t> covered_;  // messages whose records it covers
+  std::vector<uint64_t> touched_ends_, covered_ends_;  // the same of those that ended
+  std::set<uint64_t> doubtful_;  // messages whose records a failed one should have covered
   Findings findings_;
 };
 
--- a/tests/peers.h
+++ b/tests/peers.h
@@ -123,6 +123,7 @@
   void signal(int number);
   int wait();  // exit status; minus the signal that ended it
   void kill();
+  pid_t pid() const { return child_; }
   std::filesystem::path state() const { return folder_ / "state"; }
   Socket client() const { return Socket::connect(port_); }
 
--- a/tests/program_test.cpp
+++ b/tests/program_test.cpp
@@ -1,4 +1,6 @@
 // The program as a whole, over loopback sockets: what it accepts, what outlasts it, and how it ends.
+#include <sys/resource.h>
+
 #include <csignal>
 #include <fstream>
 #include <set>
@@ -491,6 +493,31 @@
   EXPECT_EQ(notice.at("state"), "returned");
 }
 
+// A folder that takes no byte more while it serves, as a full or broken disk does not: nothing is taken on,
+// what was is delivered, and it takes up again by itself.
+TEST(Program, AFolderThatCannotBeWrittenTurnsAwayAndTakesUpAgain) {
+  Stage s;
+  s.program.start();
+  EXPECT_EQ(s.put("00000000000000a1", kFacts), "+OK");
+  EXPECT_EQ(id_of(s.host.next()), "00000000000000a1");
+  rlimit before{};
+  ASSERT_EQ(::prlimit(s.program.pid(), RLIMIT_FSIZE, nullptr, &before), 0);
+  rlimit none = before;
+  none.rlim_cur = 0;
+  ASSERT_EQ(::prlimit(s.program.pid(), RLIMIT_FSIZE, &none, nullptr), 0);
+  for (int i = 0; i < 3; ++i) {
+    const std::string line = s.put("00000000000000b" + std::to_string(i), kFacts);
+    ASSERT_TRUE(line.starts_with("-BUSY ")) << line;
+    EXPECT_GE(std::stoi(line.substr(6)), 100) << "it says when to come again";
+  }
+  s.host.answer("200");  // its end cannot be recorded yet
+  ASSERT_EQ(::prlimit(s.program.pid(), RLIMIT_FSIZE, &before, nullptr), 0);
+  EXPECT_EQ(s.put("00000000000000c1", kFacts), "+OK");
+  EXPECT_EQ(id_of(s.host.next()), "00000000000000c1");
+  s.restart_killed();
+  EXPECT_EQ(id_of(s.host.next()), "00000000000000c1") << "the first one's end was recorded after all";
+}
+
 // Handed in twice before it is decided on: both get the one answer.
 TEST(Program, AnswersARepeatedIdAsTheFirst) {
   Stage s;
--- a/tests/state/journal_test.cpp
+++ b/tests/state/journal_test.cpp
@@ -7,6 +7,7 @@
 #include <random>
 
 #include "memory_files.h"
+#include "state/inspect.h"
 
 namespace umberhoist::state {
 namespace {
@@ -63,6 +64,23 @@
   return out;
 }
 
+// The same, by the second reader.
+Model inspected(Files& files) {
+  const FolderSeen seen = inspect(files, [](const RecordSeen&) {});
+  Model out;
+  for (const auto& [order, a] : seen.live) {
+    Known known{a.due, a.message.body, a.message.tenant, {}, 0, {}};
+    for (const Attempt& t : a.attempts) {
+      known.attempts = std::max(known.attempts, t.number + 1);
+      if (!t.never_ran) known.unsettled[t.number] = {t.sent, t.zone};
+    }
+    if (a.owed) known.owed = {a.owed->returned, a.owed->after};
+    out.messages.emplace_back(a.message.id, std::move(known));
+  }
+  out.facts = seen.facts;
+  return out;
+}
+
 std::string show(const Model& model) {
   std::string out;
   for (const auto& [id, known] : model.messages) {
@@ -220,6 +238,8 @@
       MemoryFiles files(h.files.contents());
       const Model found = recovered(files, h.disk);
       EXPECT_EQ(found, h.steps.back().after) << "seed " << seed << ": " << show(found);
+      const Model second = inspected(files);
+      EXPECT_EQ(second, found) << "seed " << seed << ": the second reader sees " << show(second);
       copied += h.files.changes.size();
     } else {
       points += kill_everywhere(h, [&](size_t size) {
@@ -418,7 +438,11 @@
         }
         EXPECT_LE(files.most, kDisk);
         MemoryFiles left(files.contents());
-        const Model found = recovered(left, kDisk);
+        Findings findings;
+        const Model found = recovered(left, kDisk, &findings);
+        if (!uncut) {
+          EXPECT_EQ(findings.damages + findings.torn_bytes, 0u) << "a failed write was not cut off";
+        }
         // An attempt that could not be recorded, nor cut off, may be there: that errs to the safe side.
         Model plain = model, seen = found;
         if (uncut) {
@@ -433,6 +457,50 @@
   }
 }
 
+// All of a record is on the disk and the write says that it failed, and it cannot be cut off: the client was
+// told to come again, so a start must not resume it beside that.
+TEST(Journal, ARefusedMessageThatStandsOnDiskAllTheSameIsEnded) {
+  for (int64_t at = 0; at < 40; ++at) {
+    MemoryFiles files;
+    files.fail_from = at;
+    files.fail_until = at + 1;
+    files.fail_wholly = files.fail_truncate = true;
+    std::set<std::string> taken, refused;
+    {
+      Journal journal(files, options(30'000));
+      for (int i = 0; i < 30; ++i) {
+        const std::string id = "m" + std::to_string(i);
+        (journal.accepted(message(id, 100), i) ? taken : refused).insert(id);
+      }
+      journal.tidy(1);
+    }
+    MemoryFiles left(files.contents());
+    const Model found = recovered(left, 30'000);
+    EXPECT_EQ(found.messages.size(), taken.size()) << at << ": " << show(found);
+    for (const auto& [id, known] : found.messages) EXPECT_FALSE(refused.contains(id)) << at << " " << id;
+  }
+}
+
+// What is copied forward is read by its place: after a write that failed half-way the places must still be
+// right, or the oldest segments could never go.
+TEST(Journal, AfterAFailedWriteTheDiskIsStillGoneRound) {
+  for (int64_t at = 1; at < 30; ++at) {
+    MemoryFiles files;
+    files.fail_from = at;
+    files.fail_until = at + 1;
+    files.fail_partly = true;
+    Journal journal(files, options(40'000));
+    for (int i = 0; i < 10; ++i) journal.accepted(message("kept" + std::to_string(i), 100), i);
+    int refused = 0;  // the one that met the failure
+    for (int i = 0; i < 500; ++i) {
+      const std::string id = "m" + std::to_string(i);
+      refused += !journal.accepted(message(id, 1000), i);
+      journal.done(id);
+    }
+    EXPECT_LE(refused, 1) << "failed at " << at;
+  }
+}
+
 TEST(Journal, ADiskThatRunsFullRefusesRecordsEveryEndAndTakesUpAgain) {
   constexpr size_t kDisk = 60'000;
   MemoryFiles files;
@@ -491,6 +559,44 @@
   EXPECT_GT(taken_beside(5000), alone * 6 / 10);
 }
 
+TEST(Journal, FactsTakeNoMoreThanTheirPart) {
+  constexpr size_t kDisk = 100'000;
+  MemoryFiles files;
+  Journal journal(files, options(kDisk));
+  size_t bytes = 0;
+  for (int i = 0; i < 2000; ++i) {
+    if (journal.remember("fact " + std::to_string(i), std::string(100, 'x'))) bytes += 100;
+  }
+  EXPECT_GT(bytes, kDisk / 8);
+  EXPECT_LE(bytes, kDisk / 4);
+  EXPECT_TRUE(journal.remember("fact 1", "short"));
+}
+
+TEST(Journal, DamagedBytesAreKeptForAPersonWhereThereIsRoom) {
+  MemoryFiles files;
+  {
+    Journal journal(files, options(100'000));
+    for (int i = 0; i < 20; ++i) ASSERT_TRUE(journal.accepted(message("m" + std::to_string(i), 400), i));
+  }
+  Contents bad = files.contents();
+  const std::string name = bad.begin()->first;
+  bad.begin()->second[kHeaderBytes + 100] ^= 1;
+  const std::string aside = "aside-" + name + "-128";
+  MemoryFiles damaged(bad);
+  for (int start = 0; start < 2; ++start) {  // the second one finds it there
+    Findings findings;
+    EXPECT_EQ(recovered(damaged, 100'000, &findings).messages.size(), 19u);
+    ASSERT_EQ(findings.lines.size(), 1u);
+    EXPECT_TRUE(findings.lines[0].ends_with("they are kept as " + aside)) << findings.lines[0];
+    EXPECT_EQ(damaged.contents().at(aside), bad.at(name).substr(128, findings.damaged_bytes));
+    EXPECT_EQ(damaged.contents().size(), bad.size() + 1);
+  }
+  // A disk that has no room to spare is not filled with it.
+  MemoryFiles small(bad);
+  EXPECT_EQ(recovered(small, 12'000).messages.size(), 19u);
+  EXPECT_EQ(small.contents().size(), bad.size());
+}
+
 TEST(Journal, TheSameIdAcceptedEndedAndAcceptedAgain) {
   MemoryFiles files;
   {
--- a/tests/state/memory_files.h
+++ b/tests/state/memory_files.h
@@ -1,10 +1,13 @@
 // A folder in memory that remembers each change, so that a test can look at it as a kill at any byte would
-// leave it, and that fails on command: nothing, an error, or part of a write and then an error.
+// leave it, and that fails on command: nothing, an error, part of a write and then an error, or all of it and
+// an error all the same. It knows what was synced, too: a power loss keeps that, and of the rest what it
+// likes.
 #pragma once
 
 #include <algorithm>
 #include <map>
 #include <memory>
+#include <random>
 #include <string>
 #include <vector>
 
@@ -25,12 +28,45 @@
 
   MemoryFiles() = default;
   explicit MemoryFiles(const Contents& contents) {
-    for (const auto& [name, bytes] : contents) files_[name] = std::make_shared<std::string>(bytes);
+    for (const auto& [name, bytes] : contents) files_[name] = std::make_shared<File>(File{bytes, bytes, {}});
+    on_disk_ = files_;
   }
 
   Contents contents() const {
     Contents out;
-    for (const auto& [name, bytes] : files_) out[name] = *bytes;
+    for (const auto& [name, file] : files_) out[name] = file->bytes;
+    return out;
+  }
+
+  // What a power loss may leave: of the changes to the folder since it was synced any, each whole; of a
+  // file's unsynced bytes any blocks of 512, zeros in place of the others, and any length.
+  Contents after_power_loss(std::mt19937_64& random) const {
+    Folder folder = on_disk_;
+    for (const auto& change : unsynced_) {
+      if (random() % 2 == 0) continue;
+      if (change.what == Change::What::kCreate) folder[change.name] = change.file;
+      if (change.what == Change::What::kRemove) folder.erase(change.name);
+      if (change.what == Change::What::kRename && folder.contains(change.name)) {
+        folder[change.to] = folder.at(change.name);
+        folder.erase(change.name);
+      }
+    }
+    Contents out;
+    for (const auto& [name, file] : folder) {
+      const size_t sure = std::min(file->synced.size(), file->bytes.size());
+      const size_t longest = std::max(file->synced.size(), file->bytes.size());
+      std::string left = file->synced.substr(0, sure);
+      left.resize(random() % 3 == 0 ? longest : sure + random() % (longest - sure + 1), '\0');
+      const std::string now = file->written();
+      for (size_t at = sure; at < left.size();) {
+        const size_t end = std::min(left.size(), (at / kBlock + 1) * kBlock);
+        const bool kept = random() % 2 == 0;
+        for (; at < end; ++at) {
+          if (kept && at < now.size()) left[at] = now[at];
+        }
+      }
+      out[name] = std::move(left);
+    }
     return out;
   }
   std::vector<Change> changes;
@@ -39,6 +75,8 @@
   int64_t fail_from = INT64_MAX;  // changes by their number: these fail,
   int64_t fail_until = INT64_MAX;
   bool fail_partly = false;    // after part of a write
+  bool fail_wholly = false;    // after all of it
+  bool fail_sync = false;      // and what it should have covered is never written by a later one
   bool fail_truncate = false;  // and it cannot be cut off again
 
   static void apply(Contents& to, const Change& change, size_t prefix) {
@@ -69,36 +107,38 @@
   }
   int create(const std::string& name) override {
     if (fails()) return -1;
-    files_[name] = std::make_shared<std::string>();
+    files_[name] = std::make_shared<File>();
+    unsynced_.push_back({Change::What::kCreate, name, "", files_[name]});
     note({Change::What::kCreate, name, "", 0});
     return handle(name);
   }
   int open(const std::string& name) override { return files_.contains(name) ? handle(name) : -1; }
   ssize_t append(int file, std::string_view bytes) override {
-    const auto& [name, to] = handles_[static_cast<size_t>(file)];
+    const auto& [name, of] = handles_[static_cast<size_t>(file)];
+    std::string* const to = &of->bytes;
     size_t room = bytes.size();
     if (const size_t now = total(); now - counted(to->size()) + counted(to->size() + room) > capacity) {
       room = std::min(room, counted(to->size()) - to->size());  // to the end of its block
     }
     const bool failing = fails();
-    if (failing) room = fail_partly ? std::min(room, bytes.size() / 2) : 0;
+    if (failing && !fail_wholly) room = fail_partly ? std::min(room, bytes.size() / 2) : 0;
     if (room == 0) return -1;
     to->append(bytes.substr(0, room));
     note({Change::What::kAppend, name, std::string(bytes.substr(0, room)), 0});
-    return static_cast<ssize_t>(room);
+    return failing && fail_wholly ? -1 : static_cast<ssize_t>(room);
   }
   ssize_t read(int file, size_t at, char* to, size_t count) override {
-    const auto& bytes = *handles_[static_cast<size_t>(file)].second;
+    const auto& bytes = handles_[static_cast<size_t>(file)].second->bytes;
     if (at >= bytes.size()) return 0;
     return static_cast<ssize_t>(bytes.copy(to, count, at));
   }
   ssize_t size(int file) override {
-    return static_cast<ssize_t>(handles_[static_cast<size_t>(file)].second->size());
+    return static_cast<ssize_t>(handles_[static_cast<size_t>(file)].second->bytes.size());
   }
   bool truncate(int file, size_t size) override {
     if (fail_truncate) return false;
-    const auto& [name, bytes] = handles_[static_cast<size_t>(file)];
-    bytes->resize(size);
+    const auto& [name, of] = handles_[static_cast<size_t>(file)];
+    of->bytes.resize(size);
     note({Change::What::kTruncate, name, "", size});
     return true;
   }
@@ -106,25 +146,67 @@
     if (fails()) return false;
     files_[to] = files_[from];
     files_.erase(from);
+    unsynced_.push_back({Change::What::kRename, from, to, nullptr});
     note({Change::What::kRename, from, to, 0});
     return true;
   }
   bool remove(const std::string& name) override {
     if (fails()) return false;
     files_.erase(name);
+    unsynced_.push_back({Change::What::kRemove, name, "", nullptr});
     note({Change::What::kRemove, name, "", 0});
     return true;
   }
+  bool sync(int file) override {
+    File& of = *handles_[static_cast<size_t>(file)].second;
+    if (!fail_sync) {
+      of.synced = of.written();
+      return true;
+    }
+    if (of.bytes.size() > of.synced.size()) of.lost.emplace_back(of.synced.size(), of.bytes.size());
+    return false;
+  }
+  bool sync_folder() override {
+    if (fail_sync) return false;
+    on_disk_ = files_;
+    unsynced_.clear();
+    return true;
+  }
+  void forget(int file) override {
+    File& of = *handles_[static_cast<size_t>(file)].second;
+    of.bytes = of.written();
+    of.lost.clear();
+  }
   void close(int) override {}
 
  private:
+  struct File {
+    std::string bytes;   // as the process sees it
+    std::string synced;  // as the disk has it
+    std::vector<std::pair<size_t, size_t>> lost;
+
+    std::string written() const {
+      std::string out = bytes;
+      for (const auto& [from, to] : lost) {
+        for (size_t i = from; i < std::min(to, out.size()); ++i) out[i] = '\0';
+      }
+      return out;
+    }
+  };
+  using Folder = std::map<std::string, std::shared_ptr<File>>;
+  struct FolderChange {
+    Change::What what = Change::What::kCreate;
+    std::string name, to;
+    std::shared_ptr<File> file;
+  };
+
   int handle(const std::string& name) {
     handles_.emplace_back(name, files_.at(name));
     return static_cast<int>(handles_.size()) - 1;
   }
   size_t total() const {
     size_t out = 0;
-    for (const auto& [name, bytes] : files_) out += counted(bytes->size());
+    for (const auto& [name, file] : files_) out += counted(file->bytes.size());
     return out;
   }
   bool fails() {
@@ -136,8 +218,10 @@
     most = std::max(most, total());
   }
 
-  std::map<std::string, std::shared_ptr<std::string>> files_;
-  std::vector<std::pair<std::string, std::shared_ptr<std::string>>> handles_;
+  Folder files_;
+  Folder on_disk_;
+  std::vector<FolderChange> unsynced_;
+  std::vector<std::pair<std::string, std::shared_ptr<File>>> handles_;
   int64_t tried_ = 0;
 };
 
--- /dev/null
+++ b/tests/state/power_test.cpp
@@ -0,0 +1,230 @@
+// The journal under power loss, with durability "group": whatever was claimed once its sync had ended is
+// there again, and what ended for good stays ended, whichever unsynced blocks and changes of the folder are
+// lost.
+#include <gtest/gtest.h>
+
+#include <cstdlib>
+#include <random>
+
+#include "memory_files.h"
+#include "state/journal.h"
+
+namespace umberhoist::state {
+namespace {
+
+JournalOptions group(size_t disk, uint64_t seed) { return {disk, "n0", 6, seed, Durability::kGroup}; }
+
+Handed message(const std::string& id, size_t body) {
+  Handed out;
+  out.id = id;
+  out.message_class = "keyed";
+  out.destination = 7;
+  out.body.assign(body, id.back());
+  return out;
+}
+
+// The oracle: of each message, what was claimed at which position, and what was only tried.
+struct Claim {
+  size_t body = 0;
+  uint64_t accepted = 0;             // the position that makes it safe
+  std::map<int, uint64_t> attempts;  // that were let go, with theirs
+  std::set<int> tried;               // as well as those that were not
+  std::set<int> never_ran;
+  std::optional<uint64_t> owed;
+  std::optional<uint64_t> ended;  // its end was recorded here; nothing was promised of it before that is safe
+};
+
+class Play {
+ public:
+  Play(uint64_t seed, size_t disk) : disk_(disk), random_(seed) { start(); }
+
+  void step() {
+    const uint64_t what = below(100);
+    const std::string id = some();
+    if (id.empty() || what < 30) {
+      const std::string fresh = "m" + std::to_string(made_++);
+      const size_t body = below(6) == 0 ? below(3000) : below(200);
+      if (journal_->accepted(message(fresh, body), 1))
+        claims_[fresh] = {body, journal_->position(), {}, {}, {}, {}, {}};
+    } else if (what < 45) {
+      Claim& c = claims_.at(id);
+      const int number = static_cast<int>(c.tried.size());
+      // As the relay: an attempt is let go once its record and its message's are safe, not before.
+      if (number < 6 && !c.owed) {
+        c.tried.insert(number);
+        if (journal_->attempt(id, number, 10, 0)) c.attempts[number] = journal_->position();
+      }
+    } else if (what < 50) {
+      Claim& c = claims_.at(id);
+      if (!c.attempts.empty()) {
+        c.never_ran.insert(c.attempts.rbegin()->first);
+        journal_->never_ran(id, c.attempts.rbegin()->first);
+      }
+    } else if (what < 55) {
+      Claim& c = claims_.at(id);
+      if (!c.owed && journal_->owed({id, true, 5})) c.owed = journal_->position();
+    } else if (what < 70) {
+      journal_->done(id);
+      claims_.at(id).ended = journal_->position() + !journal_->caught_up();
+    } else if (what < 74) {
+      journal_->remember("fact" + std::to_string(below(4)), std::string(below(200), 'f'));
+    } else if (what < 80) {
+      journal_->tidy(200 + below(3000));
+    } else if (what < 97) {
+      sync();
+    } else {
+      finish_sync(true);
+      start();
+    }
+  }
+
+  // Starts from what several power losses would leave here.
+  void lose_power(int times) {
+    for (int i = 0; i < times; ++i) {
+      MemoryFiles left(files_.after_power_loss(random_));
+      Journal found(left, group(disk_, 3));
+      std::map<std::string, Recovered> there;
+      found.recover([&](Recovered r) { there[r.message.id] = std::move(r); });
+      for (const auto& [id, c] : claims_) check(id, c, there.contains(id) ? &there.at(id) : nullptr);
+      for (const auto& [id, r] : there) EXPECT_TRUE(claims_.contains(id) || refused(id)) << id;
+      ++points;
+      if (::testing::Test::HasFailure()) return;
+    }
+  }
+
+  MemoryFiles& files() { return files_; }
+  size_t points = 0, syncs = 0, failed = 0;
+
+ private:
+  uint64_t below(uint64_t n) { return random_() % n; }
+  bool refused(const std::string& id) const { return std::stoi(id.substr(1)) < made_; }
+
+  std::string some() {
+    std::vector<std::string> alive;
+    for (const auto& [id, c] : claims_) {
+      if (!c.ended) alive.push_back(id);
+    }
+    return alive.empty() ? "" : alive[below(alive.size())];
+  }
+
+  void start() {
+    std::set<std::string> sure;
+    for (const auto& [id, c] : claims_) {
+      if (journal_ && journal_->durable(c.accepted)) sure.insert(id);
+    }
+    journal_.reset();
+    journal_ = std::make_unique<Journal>(files_, group(disk_, random_() | 1));
+    // All that was there at a start is synced before anything else happens, and positions begin anew. What
+    // had not been sure may be gone, with the pages of a sync that failed.
+    std::map<std::string, Recovered> there;
+    journal_->recover([&](Recovered r) { there[r.message.id] = std::move(r); });
+    std::erase_if(claims_, [&](const auto& claim) {
+      return !there.contains(claim.first) && !claim.second.ended && !sure.contains(claim.first);
+    });
+    for (auto& [id, c] : claims_) {
+      if (there.contains(id)) {
+        std::erase_if(c.attempts, [&](const auto& t) { return !there.at(id).unsettled.contains(t.first); });
+        if (c.owed && !there.at(id).owed) c.owed.reset();
+        c.ended.reset();
+      }
+      c.accepted = 0;
+      for (auto& [number, at] : c.attempts) at = 0;
+      if (c.owed) c.owed = 0;
+      if (c.ended) c.ended = 0;
+    }
+  }
+
+  // Begun now, carried out some steps later, as by another thread.
+  void sync() {
+    if (pending_) return finish_sync(below(12) != 0);
+    if (journal_->sync_wanted()) pending_ = journal_->begin_sync();
+  }
+  void finish_sync(bool good) {
+    if (!pending_) return;
+    files_.fail_sync = !good;
+    const bool done = Journal::carry_out(files_, *pending_);
+    files_.fail_sync = false;
+    journal_->end_sync(*pending_, done);
+    pending_.reset();
+    ++syncs;
+    failed += !done;
+  }
+
+  void check(const std::string& id, const Claim& c, const Recovered* r) {
+    if (c.ended) {
+      EXPECT_TRUE(r == nullptr || !journal_->durable(*c.ended)) << id << " ended and came back";
+    } else if (journal_->durable(c.accepted)) {
+      EXPECT_NE(r, nullptr) << id << " was taken on and is lost";
+    }
+    if (r == nullptr) return;
+    EXPECT_EQ(r->message.body, message(id, c.body).body) << id;
+    for (const auto& [number, at] : c.attempts) {
+      if (!journal_->durable(at) || c.never_ran.contains(number)) continue;
+      EXPECT_TRUE(r->unsettled.contains(number)) << id << " may have run: attempt " << number;
+    }
+    for (const auto& [number, sent] : r->unsettled) EXPECT_TRUE(c.tried.contains(number)) << id;
+    EXPECT_TRUE(r->owed || !c.owed || !journal_->durable(*c.owed)) << id << " was given back";
+  }
+
+  size_t disk_;
+  std::mt19937_64 random_;
+  MemoryFiles files_;
+  std::unique_ptr<Journal> journal_;
+  std::optional<Journal::Sync> pending_;
+  std::map<std::string, Claim> claims_;
+  int made_ = 0;
+};
+
+class PowerLoss : public ::testing::TestWithParam<int> {};
+
+TEST_P(PowerLoss, LosesNothingThatASyncHadCoveredWhicheverBlocksItTakes) {
+  size_t points = 0, failed = 0;
+  const char* wanted = std::getenv("UMBERHOIST_POWER_RUNS");  // so many a shard, for a night
+  const uint64_t runs = wanted == nullptr ? 60 : static_cast<uint64_t>(std::atoi(wanted));
+  for (uint64_t i = 0; i < runs; ++i) {
+    const uint64_t seed = static_cast<uint64_t>(GetParam()) * 1000 + i;
+    Play run(seed, 30'000 + 10'000 * (i % 3));
+    for (int k = 0; k < 250; ++k) {
+      run.step();
+      if (k % 5 == 0) run.lose_power(2);
+      ASSERT_FALSE(HasFailure()) << "seed " << seed << " step " << k;
+    }
+    points += run.points;
+    failed += run.failed;
+    EXPECT_LE(run.files().most, 30'000 + 10'000 * (i % 3)) << "seed " << seed;
+  }
+  EXPECT_GT(points, 5000u);
+  EXPECT_GT(failed, 50u);
+  RecordProperty("power_losses", static_cast<int>(points));
+}
+
+INSTANTIATE_TEST_SUITE_P(Shards, PowerLoss, ::testing::Range(0, 4));
+
+TEST(Group, NothingIsDurableBeforeItsSyncHasEnded) {
+  MemoryFiles files;
+  Journal journal(files, group(100'000, 1));
+  EXPECT_FALSE(journal.sync_wanted());
+  ASSERT_TRUE(journal.accepted(message("a", 10), 1));
+  const uint64_t first = journal.position();
+  EXPECT_FALSE(journal.durable(first));
+  ASSERT_TRUE(journal.sync_wanted());
+  const Journal::Sync sync = journal.begin_sync();
+  ASSERT_TRUE(journal.accepted(message("b", 10), 1));
+  EXPECT_FALSE(journal.sync_wanted()) << "one at a time";
+  journal.end_sync(sync, Journal::carry_out(files, sync));
+  EXPECT_TRUE(journal.durable(first));
+  EXPECT_FALSE(journal.durable(journal.position())) << "it came while the sync was out";
+  EXPECT_TRUE(journal.sync_wanted());
+}
+
+TEST(Group, ProcessDurabilityNeverSyncs) {
+  MemoryFiles files;
+  files.fail_sync = true;
+  Journal journal(files, {100'000, "n0", 6, 1});
+  ASSERT_TRUE(journal.accepted(message("a", 10), 1));
+  EXPECT_TRUE(journal.durable(journal.position()));
+  EXPECT_FALSE(journal.sync_wanted());
+}
+
+}  // namespace
+}  // namespace umberhoist::state
--- a/tests/upstream_test.cpp
+++ b/tests/upstream_test.cpp
@@ -48,15 +48,16 @@
   std::optional<AttemptEnded> ended_;
   uint64_t last_ = 0;
   Host host_;
-  Upstream upstream_{io_,
-                     {1'000'000, 10'000'000, 16, 60'000'000},
-                     {"x0", "x1"},
-                     [this](const Call&) { return may_start_; },
-                     [this](const AttemptEnded& end, bool began) {
-                       ended_ = end;
-                       began_ = began;
-                     },
-                     [](const ProbeEnded&) {}};
+  Upstream upstream_{
+      io_,
+      {1'000'000, 10'000'000, 16, 60'000'000},
+      {"x0", "x1"},
+      [this](const Call&) { return may_start_ ? Upstream::Start::kYes : Upstream::Start::kNo; },
+      [this](const AttemptEnded& end, bool began) {
+        ended_ = end;
+        began_ = began;
+      },
+      [](const ProbeEnded&) {}};
 };
 
 TEST_F(UpstreamTest, ReadsEachAnswer) {
