Rehearsal kit plays tenants with quotas, events that repeat, and group durability

Need: no scenario named a tenant, so a daemon that counts all against the first one (as ours did) passed.

--- a/rehearsal/ledger.cpp
+++ b/rehearsal/ledger.cpp
@@ -54,11 +54,8 @@
 
 Ledger::Ledger(const Scenario& scenario, uint64_t seed, Schedule schedule)
     : scenario_(scenario), random_(seed), schedule_(std::move(schedule)) {
-  for (const ClassSpec& c : scenario.classes) {
-    ClassTally tally;
-    tally.name = c.name;
-    tallies_.push_back(std::move(tally));
-  }
+  for (const ClassSpec& c : scenario.classes) tallies_.emplace_back().name = c.name;
+  for (const TenantSpec& t : scenario.tenants) tenants_.emplace_back().name = t.name;
 }
 
 Ledger::~Ledger() = default;
@@ -72,6 +69,12 @@
   return seconds_[index];
 }
 
+std::vector<Tally*> Ledger::tallies_of(const ArrivalPlan& arrival) {
+  std::vector<Tally*> out{&tallies_[arrival.message_class]};
+  if (!tenants_.empty()) out.push_back(&tenants_[arrival.tenant]);
+  return out;
+}
+
 Ledger::Open* Ledger::find(uint64_t id) {
   const auto it = ids_.find(id);
   if (it == ids_.end()) return nullptr;
@@ -87,7 +90,7 @@
   open_.emplace(arrival.message, open);
   ++messages_;
   ++second(at).arrivals;
-  ++tallies_[arrival.message_class].asked;
+  for (Tally* tally : tallies_of(arrival)) ++tally->asked;
 }
 
 void Ledger::bind(uint64_t id, uint32_t message, int relay) {
@@ -222,34 +225,49 @@
   }
 }
 
+double Ledger::worth_of(const ClassSpec& spec, Time took) const {
+  const double aims = static_cast<double>(took) / 1e6 / spec.aim_s;
+  if (aims <= 1) return spec.worth;
+  if (scenario_.late == Late::kHalves) return spec.worth * std::max(spec.late_worth, std::pow(0.5, aims - 1));
+  const double late = (aims - 1) * spec.aim_s / std::max(1e-6, spec.give_up_s - spec.aim_s);
+  return spec.worth * std::max(spec.late_worth, 1 - (1 - spec.late_worth) * late);
+}
+
 void Ledger::finish(Time at, uint32_t message, How how) {
   const auto it = open_.find(message);
   if (it == open_.end()) return;
   Open& open = it->second;
   const ClassSpec& spec = scenario_.classes[open.arrival.message_class];
-  ClassTally& tally = tallies_[open.arrival.message_class];
+  const auto tallies = tallies_of(open.arrival);
   Second& now = second(at);
-  if (how == How::kDelivered) {
-    const Time took = at - open.at;
-    const double aims = static_cast<double>(took) / 1e6 / spec.aim_s;
-    ++(aims <= 1 ? tally.in_time : tally.late);
-    tally.worth += spec.worth * (aims <= 1 ? 1.0 : std::max(spec.late_worth, std::pow(0.5, aims - 1)));
-    tally.latency.add(took);
-    now.latency.add(took);
-    ++now.delivered[open.arrival.message_class];
-  } else if (how == How::kRefused) {
-    ++tally.refused;
-    ++now.refused;
-  } else if (how == How::kFailed) {
-    ++tally.failed;
-    ++now.failed;
-  } else if (how == How::kLost) {
-    ++tally.lost;
-    ++now.failed;
-  } else {
-    ++tally.unanswered;
-    ++now.failed;
+  uint64_t Tally::*count = nullptr;
+  switch (how) {
+    case How::kDelivered: {
+      const Time took = at - open.at;
+      count = static_cast<double>(took) <= spec.aim_s * 1e6 ? &Tally::in_time : &Tally::late;
+      for (Tally* tally : tallies) {
+        tally->worth += worth_of(spec, took);
+        tally->latency.add(took);
+      }
+      now.latency.add(took);
+      ++now.delivered[open.arrival.message_class];
+      break;
+    }
+    case How::kRefused:
+      count = &Tally::refused;
+      break;
+    case How::kFailed:
+      count = &Tally::failed;
+      break;
+    case How::kLost:
+      count = &Tally::lost;
+      break;
+    case How::kUnanswered:
+      count = &Tally::unanswered;
+      break;
   }
+  for (Tally* tally : tallies) ++(tally->*count);
+  if (how != How::kDelivered) ++(how == How::kRefused ? now.refused : now.failed);
   release(open);
   open_.erase(it);
 }
--- a/rehearsal/ledger.h
+++ b/rehearsal/ledger.h
@@ -37,7 +37,7 @@
   Histogram latency;
 };
 
-struct ClassTally {
+struct Tally {  // of a class, or of a tenant
   std::string name;
   uint64_t asked = 0;
   uint64_t in_time = 0;
@@ -88,7 +88,8 @@
   // Ends what is open past its time: its client has no more use for it.
   void expire(Time now);
 
-  const std::vector<ClassTally>& tallies() const { return tallies_; }
+  const std::vector<Tally>& tallies() const { return tallies_; }  // by class
+  const std::vector<Tally>& tenants() const { return tenants_; }
   const std::vector<Second>& seconds() const { return seconds_; }
   uint64_t messages() const { return messages_; }
   uint64_t handings() const { return handings_; }
@@ -100,6 +101,8 @@
 
   Second& second(Time at);
   Open* find(uint64_t id);
+  std::vector<Tally*> tallies_of(const ArrivalPlan& arrival);  // its class, and its tenant if there is one
+  double worth_of(const ClassSpec& spec, Time took) const;
   void finish(Time at, uint32_t message, How how);
   void come_again(Time at, Open& open, Time after, bool after_death);
   void release(Open& open);
@@ -111,7 +114,8 @@
   std::unordered_map<uint32_t, Open> open_;
   std::unordered_map<uint64_t, uint32_t> ids_;  // the present one of each open message
   std::unordered_map<uint64_t, uint64_t> calls_;
-  std::vector<ClassTally> tallies_;
+  std::vector<Tally> tallies_;
+  std::vector<Tally> tenants_;
   std::vector<Second> seconds_;
   size_t held_ = 0;
   uint64_t messages_ = 0;
--- a/rehearsal/plan.cpp
+++ b/rehearsal/plan.cpp
@@ -9,7 +9,7 @@
 namespace umberhoist::rehearsal {
 namespace {
 
-enum Purpose : uint64_t { kPartners = 1, kArrivals, kEvents };
+enum Purpose : uint64_t { kPartners = 1, kArrivals, kEvents, kTenants };
 
 Time micro(double seconds) { return static_cast<Time>(std::llround(seconds * 1e6)); }
 
@@ -148,6 +148,19 @@
   for (size_t i = 0; i < plan.arrivals.size(); ++i) plan.arrivals[i].message = static_cast<uint32_t>(i + 1);
 }
 
+// From a stream of their own: a scenario with tenants has the same arrivals as without.
+void draw_tenants(const Scenario& s, Plan& plan, Random random) {
+  double shares = 0;
+  for (const TenantSpec& t : s.tenants) shares += t.share;
+  if (s.tenants.empty()) return;
+  for (ArrivalPlan& a : plan.arrivals) {
+    double pick = random.unit() * shares;
+    size_t t = 0;
+    while (t + 1 < s.tenants.size() && (pick -= s.tenants[t].share) >= 0) ++t;
+    a.tenant = static_cast<uint16_t>(t);
+  }
+}
+
 std::vector<int> targets_of(const Scenario& s, const Plan& plan, const EventSpec& event, Random& random) {
   std::vector<int> all(plan.partners.size());
   std::iota(all.begin(), all.end(), 0);
@@ -202,17 +215,19 @@
     plan.events.push_back(std::move(out));
   };
   for (const EventSpec& event : s.events) {
-    const Time at = micro(event.at_s);
-    if (event.action == Action::kRolling) {  // one every so often, each after the one before is surely back
-      const Time gap = event.for_s > 0 ? micro(event.for_s) / s.relays : 6 * kSecond;
-      for (int i = 0; i < s.relays; ++i) add(event, Action::kTerminate, at + i * gap, i);
-      continue;
+    for (int time = 0; time < event.times; ++time) {
+      const Time at = micro(event.at_s + time * event.every_s);
+      if (event.action == Action::kRolling) {  // one every so often, each after the one before is surely back
+        const Time gap = event.for_s > 0 ? micro(event.for_s) / s.relays : 6 * kSecond;
+        for (int i = 0; i < s.relays; ++i) add(event, Action::kTerminate, at + i * gap, i);
+        continue;
+      }
+      const bool of_relay = event.action == Action::kKill || event.action == Action::kTerminate ||
+                            event.action == Action::kMove || event.action == Action::kLose ||
+                            event.action == Action::kCrowd;
+      const int drawn = static_cast<int>(random.below(static_cast<size_t>(s.relays)));
+      add(event, event.action, at, of_relay ? (event.relay >= 0 ? event.relay : drawn) : -1);
     }
-    const bool of_relay = event.action == Action::kKill || event.action == Action::kTerminate ||
-                          event.action == Action::kMove || event.action == Action::kLose ||
-                          event.action == Action::kCrowd;
-    const int drawn = static_cast<int>(random.below(static_cast<size_t>(s.relays)));
-    add(event, event.action, at, of_relay ? (event.relay >= 0 ? event.relay : drawn) : -1);
   }
   std::stable_sort(plan.events.begin(), plan.events.end(),
                    [](const EventPlan& a, const EventPlan& b) { return a.at < b.at; });
@@ -239,6 +254,9 @@
   for (const ArrivalPlan& a : plan.arrivals) {
     out.add(static_cast<uint64_t>(a.at)).add(a.message_class).add(a.partner).add(a.body);
   }
+  for (const ArrivalPlan& a : plan.arrivals) {
+    if (a.tenant != 0) out.add(a.message).add(a.tenant);
+  }
   for (const EventPlan& e : plan.events) {
     out.add(static_cast<uint64_t>(e.at))
         .add(static_cast<uint64_t>(e.action))
@@ -266,6 +284,7 @@
   }
   size_partners(s, plan.partners, partners);
   draw_arrivals(s, plan, arrivals);
+  draw_tenants(s, plan, root.fork(kTenants));
   resolve_events(s, plan, events);
   double busy = 0;
   for (const PartnerPlan& p : plan.partners) {
--- a/rehearsal/plan.h
+++ b/rehearsal/plan.h
@@ -32,7 +32,8 @@
   uint32_t message = 0;
   uint16_t message_class = 0;
   uint16_t partner = 0;
-  uint32_t body = 0;  // bytes
+  uint16_t tenant = 0;  // of the scenario's, if it has any
+  uint32_t body = 0;    // bytes
 };
 
 struct EventPlan {
--- a/rehearsal/report.cpp
+++ b/rehearsal/report.cpp
@@ -253,6 +253,53 @@
     "0;background:#fdf3f2}"
     "pre{overflow-x:auto;font-size:12.5px}";
 
+std::string tally_lines(const char* of, const std::vector<Tally>& tallies) {
+  std::string out = text("%-18s %9s %8s %8s %8s %8s %8s %8s %9s %9s\n", of, "asked", "in time", "late",
+                         "refused", "failed", "lost", "no end", "p50 ms", "p99 ms");
+  for (const Tally& t : tallies) {
+    out += text("%-18s %9llu %7.1f%% %7.1f%% %7.1f%% %7.1f%% %8llu %8llu %9.1f %9.1f\n", t.name.c_str(),
+                static_cast<unsigned long long>(t.asked), percent(t.in_time, t.asked),
+                percent(t.late, t.asked), percent(t.refused, t.asked), percent(t.failed, t.asked),
+                static_cast<unsigned long long>(t.lost), static_cast<unsigned long long>(t.unanswered),
+                t.latency.quantile(0.5), t.latency.quantile(0.99));
+  }
+  return out;
+}
+
+std::string tally_table(const char* title, const char* of, const std::vector<Tally>& tallies) {
+  std::string out = text(
+      "<h2>%s</h2><table><tr><th>%s<th>asked<th>in time<th>late<th>refused<th>failed<th>lost with a "
+      "machine<th>no end<th>p50 ms<th>p99 ms</tr>",
+      title, of);
+  for (const Tally& t : tallies) {
+    out += "<tr><td>" + escape(t.name) +
+           text("<td>%llu<td>%.1f%%<td>%.1f%%<td>%.1f%%<td>%.1f%%<td>%llu<td>%llu<td>%.1f<td>%.1f</tr>",
+                static_cast<unsigned long long>(t.asked), percent(t.in_time, t.asked),
+                percent(t.late, t.asked), percent(t.refused, t.asked), percent(t.failed, t.asked),
+                static_cast<unsigned long long>(t.lost), static_cast<unsigned long long>(t.unanswered),
+                t.latency.quantile(0.5), t.latency.quantile(0.99));
+  }
+  return out + "</table>";
+}
+
+nlohmann::json tally_json(const std::vector<Tally>& tallies) {
+  nlohmann::json out = nlohmann::json::array();
+  for (const Tally& t : tallies) {
+    out.push_back({{"name", t.name},
+                   {"asked", t.asked},
+                   {"in_time", t.in_time},
+                   {"late", t.late},
+                   {"refused", t.refused},
+                   {"failed", t.failed},
+                   {"lost_with_machine", t.lost},
+                   {"no_end", t.unanswered},
+                   {"p50_ms", t.latency.quantile(0.5)},
+                   {"p90_ms", t.latency.quantile(0.9)},
+                   {"p99_ms", t.latency.quantile(0.99)}});
+  }
+  return out;
+}
+
 }  // namespace
 
 std::string summary(const Scenario& s, const Options& options, const Outcome& o) {
@@ -260,15 +307,8 @@
   out << s.name << ", seed " << options.seed << ", digest " << hex(o.digest) << ": " << verdict(o.result);
   if (!o.why.empty()) out << " (" << o.why << ")";
   out << "\n";
-  out << text("%-18s %9s %8s %8s %8s %8s %8s %8s %9s %9s\n", "class", "asked", "in time", "late", "refused",
-              "failed", "lost", "no end", "p50 ms", "p99 ms");
-  for (const ClassTally& t : o.tallies) {
-    out << text("%-18s %9llu %7.1f%% %7.1f%% %7.1f%% %7.1f%% %8llu %8llu %9.1f %9.1f\n", t.name.c_str(),
-                static_cast<unsigned long long>(t.asked), percent(t.in_time, t.asked),
-                percent(t.late, t.asked), percent(t.refused, t.asked), percent(t.failed, t.asked),
-                static_cast<unsigned long long>(t.lost), static_cast<unsigned long long>(t.unanswered),
-                t.latency.quantile(0.5), t.latency.quantile(0.99));
-  }
+  out << tally_lines("class", o.tallies);
+  if (!o.tenants.empty()) out << tally_lines("tenant", o.tenants);
   const double messages = std::max<double>(1, static_cast<double>(o.messages));
   out << text(
       "worth %.3f; %.2f attempts and %.2f handings-in a message; CPU a message: relays %.0f us, kit %.0f "
@@ -343,20 +383,8 @@
     out["used"].push_back(std::move(one));
   }
   out["by_rule"] = by_rule(o);
-  out["classes"] = json::array();
-  for (const ClassTally& t : o.tallies) {
-    out["classes"].push_back({{"name", t.name},
-                              {"asked", t.asked},
-                              {"in_time", t.in_time},
-                              {"late", t.late},
-                              {"refused", t.refused},
-                              {"failed", t.failed},
-                              {"lost_with_machine", t.lost},
-                              {"no_end", t.unanswered},
-                              {"p50_ms", t.latency.quantile(0.5)},
-                              {"p90_ms", t.latency.quantile(0.9)},
-                              {"p99_ms", t.latency.quantile(0.99)}});
-  }
+  out["classes"] = tally_json(o.tallies);
+  out["tenants"] = tally_json(o.tenants);
   out["events"] = json::array();
   for (const EventPlan& e : o.events) {
     out["events"].push_back({{"at_s", static_cast<double>(e.at) / 1e6},
@@ -431,19 +459,10 @@
       out += "</details>";
     }
   }
+  out += tally_table("Classes", "class", o.tallies);
+  if (!o.tenants.empty()) out += tally_table("Tenants", "tenant", o.tenants);
   out +=
-      "<h2>Classes</h2><table><tr><th>class<th>asked<th>in time<th>late<th>refused<th>failed<th>lost with a "
-      "machine<th>no end<th>p50 ms<th>p99 ms</tr>";
-  for (const ClassTally& t : o.tallies) {
-    out += "<tr><td>" + escape(t.name) +
-           text("<td>%llu<td>%.1f%%<td>%.1f%%<td>%.1f%%<td>%.1f%%<td>%llu<td>%llu<td>%.1f<td>%.1f</tr>",
-                static_cast<unsigned long long>(t.asked), percent(t.in_time, t.asked),
-                percent(t.late, t.asked), percent(t.refused, t.asked), percent(t.failed, t.asked),
-                static_cast<unsigned long long>(t.lost), static_cast<unsigned long long>(t.unanswered),
-                t.latency.quantile(0.5), t.latency.quantile(0.99));
-  }
-  out +=
-      "</table><h2>Over time</h2><p class=\"legend\">Shaded: what the script did; point at it for its "
+      "<h2>Over time</h2><p class=\"legend\">Shaded: what the script did; point at it for its "
       "name.</p>" +
       plots(s, o);
   out +=
--- a/rehearsal/run.cpp
+++ b/rehearsal/run.cpp
@@ -453,6 +453,7 @@
     std::string facts =
         "c=" + spec.name + ",d=" + std::to_string(left) + ",dest=" + std::to_string(arrival.partner);
     if (h.key != 0) facts += ",k=" + hex(h.key);
+    if (!scenario_.tenants.empty()) facts += ",t=" + scenario_.tenants[arrival.tenant].name;
     if (after_death) facts += ",again=1";
     front_->hand_in(h, facts, body_of(arrival));
   }
@@ -671,7 +672,7 @@
 
   void progress() {
     uint64_t delivered = 0, refused = 0, failed = 0;
-    for (const ClassTally& t : ledger_.tallies()) {
+    for (const Tally& t : ledger_.tallies()) {
       delivered += t.in_time + t.late;
       refused += t.refused;
       failed += t.failed + t.lost + t.unanswered;
@@ -770,8 +771,10 @@
 
   void judge_expectation(const ExpectSpec& expect) {
     double asked = 0, in_time = 0, delivered = 0, failed = 0, refused = 0;
-    for (const ClassTally& t : ledger_.tallies()) {
-      if (!expect.of_class.empty() && t.name != expect.of_class) continue;
+    const bool tenant = !expect.of_tenant.empty();
+    const std::string& of = tenant ? expect.of_tenant : expect.of_class;
+    for (const Tally& t : tenant ? ledger_.tenants() : ledger_.tallies()) {
+      if (!of.empty() && t.name != of) continue;
       asked += static_cast<double>(t.asked);
       in_time += static_cast<double>(t.in_time);
       delivered += static_cast<double>(t.in_time + t.late);
@@ -807,6 +810,7 @@
     out.breaches = checker_.breaches();
     out.breach_count = checker_.breach_count();
     out.tallies = ledger_.tallies();
+    out.tenants = ledger_.tenants();
     out.by_second = ledger_.seconds();
     out.samples = std::move(samples_);
     for (Relay& r : relays_) {
--- a/rehearsal/run.h
+++ b/rehearsal/run.h
@@ -64,7 +64,8 @@
   std::vector<Breach> breaches;
   std::vector<bool> doubtful;  // for each breach: the kit itself ran late round it
   size_t breach_count = 0;
-  std::vector<ClassTally> tallies;
+  std::vector<Tally> tallies;  // by class
+  std::vector<Tally> tenants;
   std::vector<Second> by_second;
   std::vector<Sample> samples;
   std::vector<RelayUse> use;  // by relay
--- a/rehearsal/scenario.cpp
+++ b/rehearsal/scenario.cpp
@@ -189,6 +189,8 @@
 const std::map<std::string, Limit, std::less<>> kLimits = {
     {"none", Limit::kNone}, {"rate", Limit::kRate}, {"window", Limit::kWindow}};
 
+const std::map<std::string, Late, std::less<>> kLate = {{"halves", Late::kHalves}, {"line", Late::kLine}};
+const std::map<std::string, bool, std::less<>> kDurability = {{"group", true}, {"process", false}};
 const std::map<std::string, bool, std::less<>> kKnown = {{"first", true}, {"now", false}};
 
 constexpr double kDay = 86'400;
@@ -248,6 +250,12 @@
   in.need("do");
   in.number("at_s", out.at_s, 0, scenario.seconds);
   in.number("for_s", out.for_s, 0, kDay);
+  in.integer("times", out.times, 1, 100'000);
+  if (out.times > 1) in.need("every_s");
+  in.number("every_s", out.every_s, 0.01, kDay);
+  if (out.at_s + (out.times - 1) * out.every_s > scenario.seconds) {
+    in.wrong("times", "no more than fit into the scenario's seconds");
+  }
   in.one_of("do", actions(), out.action);
   in.text("kind", out.kind);
   in.text("partner", out.partner);
@@ -286,11 +294,27 @@
   return out;
 }
 
+TenantSpec read_tenant(const toml::table& table, const std::string& file) {
+  Reader in(table, file, "tenant");
+  TenantSpec out;
+  in.need("name");
+  in.text("name", out.name);
+  in.number("share", out.share, 0.001, 1000);
+  in.number("quota_per_s", out.quota_per_s, 0, 1e6);
+  in.end();
+  // It stands in a list of names and values of each request.
+  if (out.name.empty() || out.name.find_first_of(",= \t\r\n") != std::string::npos) {
+    in.wrong("name", "a name without blanks, commas and equals signs");
+  }
+  return out;
+}
+
 ExpectSpec read_expect(const toml::table& table, const std::string& file, const Scenario& scenario) {
   Reader in(table, file, "expect");
   ExpectSpec out;
   out.where = in.where();
   in.text("class", out.of_class);
+  in.text("tenant", out.of_tenant);
   in.number("delivered", out.delivered, 0, 1);
   in.number("in_time", out.in_time, 0, 1);
   in.number("failed", out.failed, 0, 1);
@@ -301,6 +325,11 @@
   if (!out.of_class.empty() && std::none_of(scenario.classes.begin(), scenario.classes.end(), known)) {
     in.wrong("class", "the name of a [[class]] table");
   }
+  const auto named = [&](const TenantSpec& t) { return t.name == out.of_tenant; };
+  if (!out.of_tenant.empty() && std::none_of(scenario.tenants.begin(), scenario.tenants.end(), named)) {
+    in.wrong("tenant", "the name of a [[tenant]] table");
+  }
+  if (!out.of_class.empty() && !out.of_tenant.empty()) in.wrong("tenant", "either a class or a tenant");
   if (!in.has("delivered") && !in.has("in_time") && !in.has("failed") && !in.has("refused") &&
       !in.has("attempts")) {
     throw ScenarioError(
@@ -357,6 +386,7 @@
     relays.number("restart_s", out.restart_s, 0, 3600);
     relays.integer("max_attempts", out.max_attempts, 1, 100);
     relays.flag("probes", out.probes);
+    relays.one_of("durability", kDurability, out.group_durability);
     relays.end();
   }
   if (const auto* table = in.table("partners")) {
@@ -381,6 +411,8 @@
     clients.span("backoff_ms", out.backoff_ms, 1, 600'000);
     clients.span("notice_s", out.notice_s, 0, 600);
     clients.span("again_s", out.again_s, 0, 600);
+    clients.one_of("late", kLate, out.late);
+    clients.number("over_share_worth", out.over_share_worth, 0, 1);
     clients.end();
   }
   if (const auto* table = in.table("rules")) {
@@ -422,6 +454,14 @@
   for (const toml::table* item : in.tables("kind")) out.kinds.push_back(read_kind(*item, file));
   for (const toml::table* item : in.tables("class"))
     out.classes.push_back(read_class(*item, file, out.kinds));
+  for (const toml::table* item : in.tables("tenant")) {
+    TenantSpec tenant = read_tenant(*item, file);
+    const auto same = [&](const TenantSpec& t) { return t.name == tenant.name; };
+    if (std::any_of(out.tenants.begin(), out.tenants.end(), same)) {
+      Reader(*item, file, "tenant").wrong("name", "another name in each [[tenant]]");
+    }
+    out.tenants.push_back(std::move(tenant));
+  }
   if (out.kinds.empty()) in.wrong("kind", "at least one [[kind]]");
   if (out.classes.empty()) in.wrong("class", "at least one [[class]]");
   for (const toml::table* item : in.tables("event")) out.events.push_back(read_event(*item, file, out));
@@ -502,14 +542,27 @@
                                          : "unsafe")
         << ", given up at " << c.give_up_s << " s\n";
   }
+  for (const TenantSpec& t : s.tenants) {
+    out << "  tenant " << t.name << ": " << t.share << " share(s), ";
+    if (t.quota_per_s > 0) {
+      out << t.quota_per_s << " messages/s at full worth, beyond that " << 100 * s.over_share_worth << "%\n";
+    } else {
+      out << "no quota\n";
+    }
+  }
   for (const EventSpec& e : s.events) {
     out << "  at " << e.at_s << " s: " << action_name(e.action) << targets(e);
     if (e.for_s > 0) out << " for " << e.for_s << " s";
+    if (e.times > 1) out << ", " << e.times << " times, every " << e.every_s << " s";
     if (e.amount > 0) out << ", amount " << e.amount;
     out << "\n";
   }
   for (const ExpectSpec& e : s.expects) {
-    out << "  expected of " << (e.of_class.empty() ? "all classes" : e.of_class) << ":";
+    out << "  expected of "
+        << (!e.of_tenant.empty() ? "tenant " + e.of_tenant
+            : e.of_class.empty() ? "all classes"
+                                 : e.of_class)
+        << ":";
     if (e.delivered > 0) out << " delivered " << 100 * e.delivered << "% or more";
     if (e.in_time > 0) out << " in time " << 100 * e.in_time << "% or more";
     if (e.failed < 1) out << " failed " << 100 * e.failed << "% or less";
--- a/rehearsal/scenario.h
+++ b/rehearsal/scenario.h
@@ -55,6 +55,16 @@
   std::vector<std::string> kinds;  // that it goes to; empty: all
 };
 
+struct TenantSpec {
+  std::string name;
+  double share = 1;        // of the messages
+  double quota_per_s = 0;  // that all relays together take at full worth; 0: none
+};
+
+// What a delivery after its aim is still worth: half as much with each further aim, or less and less up to
+// the end; never under the class's late_worth.
+enum class Late { kHalves, kLine };
+
 struct BurstSpec {
   double at_s = 0;
   double for_s = 1;
@@ -98,6 +108,8 @@
 struct EventSpec {
   double at_s = 0;
   double for_s = 0;
+  int times = 1;       // it happens so often,
+  double every_s = 0;  // so long apart
   Action action = Action::kSilent;
   std::string kind;     // targets: partners of this kind,
   std::string partner;  // this one,
@@ -113,12 +125,13 @@
 
 // What a scenario asks of the outcome beside the rules, for what is lost in worth and not in a rule.
 struct ExpectSpec {
-  std::string of_class;  // empty: all
-  double delivered = 0;  // at least this share of what was asked
-  double in_time = 0;    // and of these, at least
-  double failed = 1;     // at most
-  double refused = 1;    // for good, at most
-  double attempts = 0;   // for each message at most, over all classes; 0: any
+  std::string of_class;   // empty: all
+  std::string of_tenant;  // in place of a class
+  double delivered = 0;   // at least this share of what was asked
+  double in_time = 0;     // and of these, at least
+  double failed = 1;      // at most
+  double refused = 1;     // for good, at most
+  double attempts = 0;    // for each message at most, over all classes; 0: any
   std::string where;
 };
 
@@ -130,6 +143,7 @@
   // relays
   int relays = 2;
   int sockets = 1024;
+  bool group_durability = false;
   int memory_mb = 192;
   double disk_mb = 3;
   double cores = 0;         // of a core that it gets; 0: as much as there is
@@ -153,12 +167,15 @@
   Span backoff_ms{360, 1400};
   Span notice_s{1.2, 3.8};  // until the front notices a dead relay
   Span again_s{0.35, 2};    // until what a dead relay held comes again
+  Late late = Late::kHalves;
+  double over_share_worth = 1;  // what a tenant's message beyond its quota is worth
   int max_attempts = 6;
   bool probes = true;
   Figures figures;  // classes are filled in from below
   LoadSpec load;
   std::vector<KindSpec> kinds;
   std::vector<ClassSpec> classes;
+  std::vector<TenantSpec> tenants;  // empty: messages name none
   std::vector<EventSpec> events;
   std::vector<ExpectSpec> expects;
 };
--- a/tests/rehearsal/planted_test.cpp
+++ b/tests/rehearsal/planted_test.cpp
@@ -209,7 +209,7 @@
                                            Play{"kept-kills"}, Play{"kept-drains"}, Play{"kept-partners"},
                                            Play{"kept-outage"}, Play{"kept-return"}, Play{"kept-tokens"},
                                            Play{"kept-known"}, Play{"race-waits"}, Play{"race-drains"},
-                                           Play{"race-windows"}),
+                                           Play{"race-windows"}, Play{"tenant-flood"}),
                          [](const auto& param) { return test_name(param.param.name); });
 
 INSTANTIATE_TEST_SUITE_P(
@@ -251,7 +251,8 @@
                       Case{"forgets-returns", "expectation", {"kept-return"}},
                       Case{"forgets-rates", "expectation", {"kept-return"}},
                       Case{"forgets-tokens", "expectation", {"kept-tokens"}},
-                      Case{"forgets-known", "expectation", {"kept-known"}}),
+                      Case{"forgets-known", "expectation", {"kept-known"}},
+                      Case{"forgets-tenants", "expectation", {"tenant-flood"}}),
     [](const auto& param) { return test_name(param.param.fault); });
 
 INSTANTIATE_TEST_SUITE_P(Races, Planted,
