Read once more: dump by id and segment, a failing disk told once, strange names no error

Change: each mended where it stood; one map of strings became a set of orders; an unused include went. Measured: the ctl tests (one case more) and the relay's durability tests pass in the debug build.

--- a/ctl/journal.cpp
+++ b/ctl/journal.cpp
@@ -1,8 +1,8 @@
 #include "ctl/journal.h"
 
-#include <iomanip>
 #include <nlohmann/json.hpp>
 #include <ostream>
+#include <set>
 
 #include "state/inspect.h"
 
@@ -142,18 +142,15 @@
 int dump_journal(const Dump& what, std::ostream& out, std::ostream& errors) {
   try {
     const auto files = real_files(what.folder, true);
-    std::map<std::string, uint64_t> numbers;
+    std::set<uint64_t> orders;  // of the message asked for: later records name it by these alone
     const FolderSeen seen = inspect(*files, [&](const RecordSeen& r) {
       if (what.live) return;
-      const uint64_t number = std::stoull(r.segment.substr(r.segment.find('-') + 1));
-      if (what.segment && *what.segment != number) return;
       if (!what.id.empty()) {
-        // Later records name a message by its order alone.
         const auto* accepted = std::get_if<Accepted>(&r.content);
-        if (accepted != nullptr && accepted->message.id == what.id)
-          numbers[what.id + std::to_string(r.order)] = r.order;
-        if (r.order == 0 || !numbers.contains(what.id + std::to_string(r.order))) return;
+        if (accepted != nullptr && accepted->message.id == what.id) orders.insert(r.order);
+        if (!orders.contains(r.order)) return;
       }
+      if (what.segment && *what.segment != std::stoull(r.segment.substr(r.segment.find('-') + 1))) return;
       out << line_of(json_of(r, what.bodies)) << "\n";
     });
     for (const auto& [order, a] : seen.live) {
--- a/relay/relay.cpp
+++ b/relay/relay.cpp
@@ -417,7 +417,9 @@
 void Relay::synced(const umberhoist::state::Journal::Sync& sync, bool good) {
   journal_.end_sync(sync, good);
   if (!good) {
-    std::fprintf(stderr, "journal: the disk did not take a sync: nothing is answered until it does\n");
+    if (!std::exchange(sync_told_, true)) {
+      std::fprintf(stderr, "journal: the disk did not take a sync: nothing is answered until it does\n");
+    }
     sync_failed_ = true;
     sync_timer_.expires_after(std::chrono::microseconds(kRecordAgain));
     sync_timer_.async_wait([this](const boost::system::error_code& error) {
@@ -427,6 +429,7 @@
     });
     return;
   }
+  if (std::exchange(sync_told_, false)) std::fprintf(stderr, "journal: the disk takes syncs again\n");
   while (!unanswered_.empty() && journal_.durable(unanswered_.front().position)) {
     unanswered_.front().value(kTaken);
     unanswered_.pop_front();
--- a/relay/relay.h
+++ b/relay/relay.h
@@ -112,7 +112,8 @@
   boost::asio::steady_timer record_timer_;
   std::deque<Unsafe<Clients::Answer>> unanswered_;
   std::deque<Unsafe<Notice>> unsent_;
-  bool sync_failed_ = false;
+  bool sync_failed_ = false;  // and is tried again soon
+  bool sync_told_ = false;    // in the log, once for each time that the disk fails
   boost::asio::steady_timer sync_timer_;
   Notices notices_;
   Upstream upstream_;
--- a/state/inspect.cpp
+++ b/state/inspect.cpp
@@ -11,7 +11,7 @@
 
 bool is_segment(const std::string& name) {
   const auto digits = std::string_view(name).substr(std::min(name.size(), kPrefix.size()));
-  return name.starts_with(kPrefix) && digits.size() >= 10 &&
+  return name.starts_with(kPrefix) && digits.size() >= 10 && digits.size() <= 19 &&
          std::all_of(digits.begin(), digits.end(), [](unsigned char c) { return std::isdigit(c) != 0; });
 }
 
--- a/tests/ctl/journal_test.cpp
+++ b/tests/ctl/journal_test.cpp
@@ -130,6 +130,8 @@
   const auto of_a = dump(one);
   ASSERT_EQ(of_a.size(), 4u);
   EXPECT_EQ(of_a[0].at("message").at("body_hex"), "626f647920ff206f662061");
+  one.segment = 2;  // whose records would name it by its order alone
+  EXPECT_TRUE(dump(one).empty());
   Dump live;
   live.live = true;
   const auto left = dump(live);
