A sync that left something in doubt is tried again after a pause, not at once

Cause: read again, synced() began the next sync at once while doubtful messages had no room to be written anew: the thread would have turned without end. Measured: the durability tests pass; no test of its own causes a full disk after a failed sync over the whole relay.

--- a/relay/relay.cpp
+++ b/relay/relay.cpp
@@ -416,8 +416,8 @@
 
 void Relay::synced(const umberhoist::state::Journal::Sync& sync, bool good) {
   journal_.end_sync(sync, good);
-  if (!good) {
-    if (!std::exchange(sync_told_, true)) {
+  if (!good || !sync.whole) {  // in the second case the disk has no room to write anew what is in doubt
+    if (!good && !std::exchange(sync_told_, true)) {
       std::fprintf(stderr, "journal: the disk did not take a sync: nothing is answered until it does\n");
     }
     sync_failed_ = true;
