The test of group durability starts when nothing is left to be synced

Now it waits for the first byte of a call that stays open, which shows that all before it is synced.

--- a/tests/durability_test.cpp
+++ b/tests/durability_test.cpp
@@ -88,13 +88,13 @@
         [&](const relay::tcp::endpoint& at) { listening.set_value(at.port()); }, std::move(files));
     loop_ = std::thread([this] { io_.run(); });
     port_ = listening.get_future().get();
-    // What the start had to write is synced: from here on each sync is the test's.
+    // A call that stays open: its first byte shows that the sync of all that was written before it has ended,
+    // and nothing more is written. From here on each sync is the test's.
     Socket client = this->client();
     client.send(put_bytes("00000000000000a0", kFacts));
     EXPECT_EQ(client.line(), "+OK");
-    call_ = host_.accept();
-    EXPECT_TRUE(read_request(call_));
-    call_.send("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n");
+    open_ = host_.accept();
+    EXPECT_TRUE(read_request(open_));
     EXPECT_EQ(ping(), "+PONG");
     files_->hold();
   }
@@ -126,7 +126,7 @@
   std::filesystem::path folder_ = make_folder();
   Discovery discovery_;
   Socket host_ = Socket::listen();
-  Socket call_;
+  Socket open_;
   boost::asio::io_context io_{1};
   HeldFiles* files_ = nullptr;
   std::unique_ptr<relay::Relay> relay_;
@@ -138,39 +138,41 @@
   Socket first = client();
   first.send(put_bytes("00000000000000a1", kFacts));
   ASSERT_TRUE(files_->entered(1));
+  Socket call = host_.accept();  // connected, and no more
   Socket second = client();
   second.send(put_bytes("00000000000000a2", kFacts));
   EXPECT_EQ(ping(), "+PONG") << "the loop goes on";
   EXPECT_TRUE(silent(first));
-  EXPECT_TRUE(silent(call_));
+  EXPECT_TRUE(silent(call));
   files_->permit(true);
   EXPECT_EQ(first.line(), "+OK");
   // The second one, and the first one's attempt, came after that sync had begun: one more covers both.
   ASSERT_TRUE(files_->entered(2));
   EXPECT_EQ(ping(), "+PONG");
   EXPECT_TRUE(silent(second));
-  EXPECT_TRUE(silent(call_));
+  EXPECT_TRUE(silent(call));
   files_->release();
   EXPECT_EQ(second.line(), "+OK");
-  const auto call = read_request(call_);
-  ASSERT_TRUE(call);
-  EXPECT_EQ(call->headers.at("x-call-id"), "00000000000000a1");
+  const auto request = read_request(call);
+  ASSERT_TRUE(request);
+  EXPECT_EQ(request->headers.at("x-call-id"), "00000000000000a1");
 }
 
 TEST_F(GroupDurability, AFailedSyncClaimsNothingAndIsMadeUpFor) {
   Socket first = client();
   first.send(put_bytes("00000000000000a1", kFacts));
   ASSERT_TRUE(files_->entered(1));
+  Socket call = host_.accept();
   files_->permit(false);
   ASSERT_TRUE(files_->entered(2));  // tried again, with all of it written anew
   EXPECT_EQ(ping(), "+PONG");
   EXPECT_TRUE(silent(first));
-  EXPECT_TRUE(silent(call_));
+  EXPECT_TRUE(silent(call));
   files_->release();
   EXPECT_EQ(first.line(), "+OK");
-  const auto call = read_request(call_);
-  ASSERT_TRUE(call);
-  EXPECT_EQ(call->headers.at("x-call-id"), "00000000000000a1");
+  const auto request = read_request(call);
+  ASSERT_TRUE(request);
+  EXPECT_EQ(request->headers.at("x-call-id"), "00000000000000a1");
 }
 
 }  // namespace
