--- a/state/format.cpp
+++ b/state/format.cpp
@@ -4,6 +4,8 @@
 #include <boost/crc.hpp>
 #include <cstring>
 
+#include "state/bytes.h"
+
 namespace umberhoist::state {
 namespace {
 
@@ -15,58 +17,6 @@
 
 using Crc32c = boost::crc_optimal<32, 0x1EDC6F41, 0xFFFFFFFF, 0xFFFFFFFF, true, true>;
 
-class Writer {
- public:
-  template <class Number>
-  Writer& number(Number value) {
-    char raw[sizeof value];
-    std::memcpy(raw, &value, sizeof value);  // little-endian machines only, as all that it is built for
-    out_.append(raw, sizeof raw);
-    return *this;
-  }
-  Writer& text(std::string_view value) {  // up to 64 KiB
-    number(static_cast<uint16_t>(value.size()));
-    return rest(value);
-  }
-  Writer& rest(std::string_view value) {
-    out_.append(value);
-    return *this;
-  }
-  std::string take() { return std::move(out_); }
-
- private:
-  std::string out_;
-};
-
-class Reader {
- public:
-  explicit Reader(std::string_view bytes) : bytes_(bytes) {}
-  template <class Number>
-  Number number() {
-    Number value{};
-    const auto raw = take(sizeof value);
-    if (good_) std::memcpy(&value, raw.data(), sizeof value);
-    return value;
-  }
-  std::string text() { return std::string(take(number<uint16_t>())); }
-  std::string rest() { return std::string(take(bytes_.size())); }
-  bool good() const { return good_; }
-  bool all() const { return good_ && bytes_.empty(); }
-
- private:
-  std::string_view take(size_t count) {
-    if (count > bytes_.size()) {
-      good_ = false;
-      return {};
-    }
-    const auto out = bytes_.substr(0, count);
-    bytes_.remove_prefix(count);
-    return out;
-  }
-  std::string_view bytes_;
-  bool good_ = true;
-};
-
 template <class Number>
 Number number_at(std::string_view bytes, size_t at) {
   Number value{};
--- a/state/legacy.cpp
+++ b/state/legacy.cpp
@@ -4,6 +4,7 @@
 #include <boost/crc.hpp>
 #include <cstring>
 
+#include "state/bytes.h"
 #include "state/journal.h"
 
 namespace umberhoist::state {
@@ -17,38 +18,6 @@
   return crc.checksum();
 }
 
-class Reader {
- public:
-  explicit Reader(std::string_view bytes) : bytes_(bytes) {}
-  int64_t number() {
-    int64_t value = 0;
-    if (const auto raw = take(sizeof value); good_) std::memcpy(&value, raw.data(), sizeof value);
-    return value;
-  }
-  char kind() {
-    const auto raw = take(1);
-    return good_ ? raw[0] : '\0';
-  }
-  std::string text() {
-    const int64_t size = number();
-    return std::string(take(size < 0 ? bytes_.size() + 1 : static_cast<size_t>(size)));
-  }
-  bool good() const { return good_; }
-
- private:
-  std::string_view take(size_t count) {
-    if (count > bytes_.size()) {
-      good_ = false;
-      return {};
-    }
-    const auto out = bytes_.substr(0, count);
-    bytes_.remove_prefix(count);
-    return out;
-  }
-  std::string_view bytes_;
-  bool good_ = true;
-};
-
 std::optional<std::string_view> whole(std::string_view bytes, size_t at) {
   if (bytes.size() - at < kHead) return {};
   uint32_t head[2];
@@ -60,11 +29,11 @@
 
 void apply(std::string_view payload, Legacy& out, std::map<std::string, size_t>& places) {
   Reader in(payload);
-  const char kind = in.kind();
-  const std::string id = in.text();
+  const char kind = in.number<char>();
+  const std::string id = in.text<int64_t>();
   if (!in.good()) return;
   if (kind == 'F') {
-    std::string value = in.text();
+    std::string value = in.text<int64_t>();
     if (value.empty()) {
       out.facts.erase(id);
     } else {
@@ -75,11 +44,11 @@
   if (kind == 'A') {
     Accepted a;
     a.message.id = id;
-    a.message.message_class = in.text();
-    a.message.key = in.text();
-    a.message.destination = static_cast<int>(in.number());
-    a.due = in.number();
-    a.message.body = in.text();
+    a.message.message_class = in.text<int64_t>();
+    a.message.key = in.text<int64_t>();
+    a.message.destination = static_cast<int>(in.number<int64_t>());
+    a.due = in.number<int64_t>();
+    a.message.body = in.text<int64_t>();
     if (!in.good()) return;
     places[id] = out.messages.size();
     out.messages.push_back(std::move(a));
@@ -90,16 +59,16 @@
   Accepted& a = out.messages[place->second];
   if (kind == 'T') {
     Attempt t;
-    t.number = static_cast<int>(in.number());
-    t.sent = in.number();
-    t.zone = static_cast<int>(in.number());
+    t.number = static_cast<int>(in.number<int64_t>());
+    t.sent = in.number<int64_t>();
+    t.zone = static_cast<int>(in.number<int64_t>());
     a.attempts.push_back(t);
   } else if (kind == 'N') {
-    const auto number = in.number();
+    const auto number = in.number<int64_t>();
     for (Attempt& t : a.attempts) t.never_ran |= t.number == number;
   } else if (kind == 'O') {
-    const bool returned = in.number() != 0;
-    a.owed = Notice{id, returned, in.number()};
+    const bool returned = in.number<int64_t>() != 0;
+    a.owed = Notice{id, returned, in.number<int64_t>()};
   } else if (kind == 'D') {
     places.erase(place);
   }
