A test of its name for a kill between a copy and the removal of its segment

Measured: passes; with ends that count only within the segment their message stands in, planted, it fails. The rest of the change was read again and left.

--- a/tests/state/journal_test.cpp
+++ b/tests/state/journal_test.cpp
@@ -466,6 +466,63 @@
   EXPECT_GT(points, 80u);
 }
 
+// Both segments stand there: each message comes back once, and an end in the newer one wins. The same if the
+// old segment comes back later, until the next one goes.
+TEST(Journal, AKillBetweenACopyAndTheRemovalOfItsSegmentBringsEachMessageBackOnce) {
+  constexpr size_t kDisk = 40'000;
+  MemoryFiles files;
+  std::vector<std::pair<size_t, std::set<std::string>>>
+      claimed;  // changes made so far, and what was alive then
+  std::set<std::string> alive;
+  Journal journal(files, options(kDisk));
+  const auto note = [&] { claimed.emplace_back(files.changes.size(), alive); };
+  std::mt19937_64 random(7);
+  note();
+  for (int i = 0; i < 600; ++i) {
+    if (alive.size() >= 20) {
+      const auto some = std::next(alive.begin(), static_cast<std::ptrdiff_t>(random() % alive.size()));
+      journal.done(*some);
+      alive.erase(some);
+      note();
+    }
+    const std::string id = "m" + std::to_string(i);
+    if (journal.accepted(message(id, 400), i)) alive.insert(id);
+    note();
+    journal.tidy(2000);
+    note();
+  }
+  ASSERT_GT(journal.copied_bytes(), 10'000u);
+  const auto found = [&](const Contents& contents) {
+    MemoryFiles left(contents);
+    std::set<std::string> out;
+    for (const auto& [id, known] : recovered(left, kDisk).messages) EXPECT_TRUE(out.insert(id).second) << id;
+    return out;
+  };
+  Contents now;
+  std::string old_name, old_bytes;
+  size_t at = 0, removals = 0, risen = 0;
+  for (size_t c = 0; c < claimed.size(); ++c) {
+    for (; at < claimed[c].first; ++at) {
+      const auto& change = files.changes[at];
+      if (change.what == MemoryFiles::Change::What::kRemove) {
+        const std::set<std::string> seen = found(now);
+        ASSERT_TRUE(seen == claimed[c].second || seen == claimed[c - 1].second) << "change " << at;
+        old_name = change.name;
+        old_bytes = now.at(change.name);
+        ++removals;
+      }
+      MemoryFiles::apply(now, change, change.bytes.size());
+    }
+    if (old_name.empty()) continue;
+    Contents both = now;
+    both[old_name] = old_bytes;
+    ASSERT_EQ(found(both), claimed[c].second) << "after " << at << " changes, with " << old_name;
+    ++risen;
+  }
+  EXPECT_GT(removals, 20u);
+  EXPECT_GT(risen, 500u);
+}
+
 // ---- Failing disks ----
 
 // The n-th change fails, for every n, in each way; then the disk is well again.
