--- /dev/null
+++ b/emulator/fleet.cpp
@@ -0,0 +1,358 @@
+#include "emulator/fleet.h"
+
+#include <algorithm>
+#include <cmath>
+#include <deque>
+#include <limits>
+#include <utility>
+
+namespace umberhoist::emulator {
+
+using namespace firspool;
+
+struct Fleet::Relay {
+  size_t number = 0;
+  std::unique_ptr<Policy> policy;
+  std::vector<firspool::Event> events;
+  bool step_planned = false;
+  uint64_t life = 0;  // its process; what belongs to an earlier one is void
+  struct Held {
+    Arrival in;
+    int attempts = 0;
+  };
+  std::map<uint64_t, Held> held;
+  std::map<int, DestinationMemory> memory;
+  std::map<Endpoint, std::vector<Time>> idle;  // connections, since when; the most recently used last
+  Time wake = 0;
+};
+
+struct Fleet::Host {
+  int destination = 0;
+  int connections = 0;
+  int serving = 0;
+  std::deque<uint64_t> queue;
+  Time free_at = 0;        // of the destination's rate: when the next call may come (on the first host)
+  std::vector<Time> came;  // calls that came to the destination (on the first host)
+};
+
+struct Fleet::Call {
+  Relay* relay = nullptr;
+  uint64_t life = 0;
+  Send send;
+  int attempt = 0;
+  Time sent = 0;
+  bool fresh = false;
+  bool over = false;  // its relay has given it up
+  uint64_t number = 0;
+};
+
+Fleet::Fleet(FleetModel model) : model_(std::move(model)), random_(model_.seed) {
+  std::vector<double> shares = model_.shares;
+  shares.resize(static_cast<size_t>(model_.settings.relays), 1);
+  front_ = std::discrete_distribution<size_t>(shares.begin(), shares.end());
+  for (const DestinationModel& d : model_.destinations) {
+    tallies_[d.number] = {};
+    for (const Endpoint& endpoint : d.hosts) hosts_[endpoint].destination = d.number;
+    if (d.load > 0) at(0, [this, &d] { hand_in(d); });
+    if (d.down_to > d.down_from) {
+      // Those that were out there are reset.
+      at(d.down_from, [this, &d] {
+        std::vector<uint64_t> lost;
+        for (const auto& [number, call] : calls_) {
+          if (hosts_.at(call.send.endpoint).destination == d.number) lost.push_back(number);
+        }
+        for (const uint64_t number : lost) answer(number, Outcome::kReset, 0, false, false);
+        for (const Endpoint& endpoint : d.hosts) {
+          hosts_.at(endpoint) = {};
+          hosts_.at(endpoint).destination = d.number;
+          for (const auto& relay : relays_) relay->idle.erase(endpoint);
+        }
+      });
+    }
+  }
+  for (int i = 0; i < model_.settings.relays; ++i) {
+    auto relay = std::make_unique<Relay>();
+    relay->number = static_cast<size_t>(i);
+    relays_.push_back(std::move(relay));
+    start(*relays_.back(), true);
+  }
+}
+
+Fleet::~Fleet() = default;
+
+void Fleet::at(Time when, std::function<void()> what) { events_.push({when, order_++, std::move(what)}); }
+
+DestinationModel& Fleet::destination_of(const Endpoint& endpoint) {
+  const int number = hosts_.at(endpoint).destination;
+  return *std::find_if(model_.destinations.begin(), model_.destinations.end(),
+                       [&](const auto& d) { return d.number == number; });
+}
+
+void Fleet::run() {
+  Time longest = 0;
+  for (const ClassSettings& c : model_.settings.classes) longest = std::max(longest, c.give_up);
+  while (!events_.empty()) {
+    Event event = events_.top();
+    events_.pop();
+    if (event.at > model_.length + longest + kSecond) break;
+    now_ = event.at;
+    event.what();
+  }
+  for (const DestinationModel& d : model_.destinations) judge_cold(d);
+}
+
+// The next message for a destination, to a relay as the front deals them out.
+void Fleet::hand_in(const DestinationModel& d) {
+  if (now_ >= model_.length) return;
+  at(now_ + 1 + static_cast<Time>(std::exponential_distribution<double>(d.load)(random_) * 1e6),
+     [this, &d] { hand_in(d); });
+  Relay& relay = *relays_[front_(random_)];
+  Arrival in;
+  in.id = ++last_message_;
+  in.destination = d.number;
+  in.due = now_ + model_.settings.classes.at(0).give_up;
+  ++tallies_[d.number].offered;
+  relay.held[in.id] = {in, 0};
+  happened(relay, in);
+}
+
+void Fleet::start(Relay& relay, bool first) {
+  ++relay.life;
+  Settings settings = model_.settings;
+  settings.self = static_cast<int>(relay.number);
+  relay.policy = std::make_unique<Policy>(settings, model_.seed * 1000003 + relay.number * 97 + relay.life);
+  relay.events.clear();
+  relay.idle.clear();
+  relay.wake = 0;
+  MembersChanged list;
+  auto members = std::make_shared<std::vector<Member>>();
+  for (const DestinationModel& d : model_.destinations) {
+    for (const Endpoint& endpoint : d.hosts) {
+      Member m;
+      m.endpoint = endpoint;
+      m.kind = d.kind;
+      m.destination = d.number;
+      m.weight = d.weight;
+      members->push_back(m);
+    }
+  }
+  list.members = members;
+  happened(relay, list);
+  if (first) return;
+  for (const auto& [number, memory] : relay.memory) happened(relay, memory);
+  for (auto& [id, held] : relay.held) {
+    Arrival in = held.in;
+    in.attempts = held.attempts;
+    happened(relay, in);
+  }
+}
+
+void Fleet::restart(size_t number) {
+  Relay& relay = *relays_.at(number);
+  // Its connections end with it. What was out may have run; the model's messages are safe to repeat.
+  for (const auto& [endpoint, list] : relay.idle)
+    hosts_.at(endpoint).connections -= static_cast<int>(list.size());
+  start(relay, false);
+}
+
+void Fleet::happened(Relay& relay, firspool::Event event) {
+  relay.events.push_back(std::move(event));
+  if (std::exchange(relay.step_planned, true)) return;
+  at(now_, [this, &relay] { step(relay); });
+}
+
+void Fleet::step(Relay& relay) {
+  relay.step_planned = false;
+  std::vector<firspool::Event> events;
+  events.swap(relay.events);
+  std::vector<Action> actions;
+  relay.policy->step(now_, events, actions);
+  for (const Action& action : actions) carry_out(relay, action);
+}
+
+void Fleet::carry_out(Relay& relay, const Action& action) {
+  if (const auto* send = std::get_if<Send>(&action)) {
+    call(relay, *send);
+  } else if (const auto* refuse = std::get_if<Refuse>(&action)) {
+    ++tallies_[relay.held.at(refuse->id).in.destination].refused;
+    relay.held.erase(refuse->id);
+  } else if (const auto* fail = std::get_if<Fail>(&action)) {
+    ++tallies_[relay.held.at(fail->id).in.destination].failed;
+    relay.held.erase(fail->id);
+  } else if (const auto* cancel = std::get_if<Cancel>(&action)) {
+    for (auto& [number, call] : calls_) {
+      if (call.relay != &relay || call.send.id != cancel->id || call.attempt != cancel->attempt) continue;
+      return answer(number, Outcome::kCancelled, 0, false, false);
+    }
+  } else if (const auto* probe = std::get_if<Probe>(&action)) {
+    const DestinationModel& d = destination_of(probe->endpoint);
+    const Endpoint endpoint = probe->endpoint;
+    ++tallies_[d.number].probes;
+    const uint64_t life = relay.life;
+    const bool up = now_ < d.down_from || now_ >= d.down_to;
+    at(now_ + 4 * model_.one_way, [this, &relay, endpoint, life, up] {
+      if (relay.life == life) happened(relay, ProbeEnded{endpoint, up, 4 * model_.one_way, {}});
+    });
+  } else if (const auto* close = std::get_if<CloseIdle>(&action)) {
+    hang_up(relay, close->endpoint, 0);
+  } else if (const auto* timer = std::get_if<SetTimer>(&action)) {
+    relay.wake = timer->at;
+    const uint64_t life = relay.life;
+    at(timer->at, [this, &relay, life, token = timer->token] {
+      if (relay.life == life && relay.wake == now_) happened(relay, TimerFired{token});
+    });
+  } else if (const auto* remember = std::get_if<Remember>(&action)) {
+    relay.memory[remember->memory.destination] = remember->memory;
+  }
+}
+
+void Fleet::hang_up(Relay& relay, const Endpoint& endpoint, size_t keep) {
+  std::vector<Time>& list = relay.idle[endpoint];
+  while (list.size() > keep) {
+    list.erase(list.begin());
+    --hosts_.at(endpoint).connections;
+  }
+}
+
+void Fleet::call(Relay& relay, const Send& send) {
+  const uint64_t number = ++last_call_;
+  Call& out = calls_[number];
+  out = {&relay, relay.life, send, relay.held.at(send.id).attempts++, now_, false, false, number};
+  std::vector<Time>& list = relay.idle[send.endpoint];
+  std::erase_if(list, [&](Time since) {
+    const bool old = now_ - since >= model_.settings.conn_idle - kSecond;
+    hosts_.at(send.endpoint).connections -= old;
+    return old;
+  });
+  out.fresh = list.empty();
+  if (!out.fresh) list.pop_back();
+  Time way = model_.one_way;
+  if (out.fresh) way += 2 * model_.one_way * model_.handshake;
+  at(now_ + way, [this, number] { reach(number); });
+  at(now_ + send.timeout, [this, number] { answer(number, Outcome::kTimeout, 0, false, false); });
+}
+
+// A call's last byte comes to its host.
+void Fleet::reach(uint64_t number) {
+  const auto it = calls_.find(number);
+  if (it == calls_.end()) return;
+  Call& call = it->second;
+  Host& host = hosts_.at(call.send.endpoint);
+  const DestinationModel& d = destination_of(call.send.endpoint);
+  Tally& tally = tallies_[d.number];
+  if (now_ >= d.down_from && now_ < d.down_to) {
+    ++tally.down;
+    return answer(number, Outcome::kConnectFailed, 0, false, false);
+  }
+  ++tally.calls;
+  Host& first = hosts_.at(d.hosts.front());
+  first.came.push_back(now_);
+  if (call.fresh) {
+    ++tally.fresh;
+    if (d.connections > 0 && host.connections >= d.connections) {
+      ++tally.crowded;
+      return answer(number, Outcome::kFull, 0, true, false);
+    }
+    ++host.connections;
+    tally.most_connections = std::max(tally.most_connections, host.connections);
+  }
+  if (d.rate > 0) {
+    // So many calls in each second, at once or spread.
+    const Time gap = static_cast<Time>(1e6 / d.rate);
+    if (first.free_at > now_ + kSecond) {
+      ++tally.full;
+      return answer(number, Outcome::kFull, chance() < d.told_share ? d.wait : 0, false, true);
+    }
+    first.free_at = std::max(first.free_at, now_) + gap;
+  }
+  if (host.serving < d.places) return serve(host, number);
+  if (static_cast<int>(host.queue.size()) < d.queue) return host.queue.push_back(number);
+  ++tally.full;
+  answer(number, Outcome::kFull, 0, false, true);
+}
+
+void Fleet::serve(Host& host, uint64_t number) {
+  ++host.serving;
+  const DestinationModel& d = destination_of(calls_.at(number).send.endpoint);
+  const Endpoint endpoint = calls_.at(number).send.endpoint;
+  const Time took =
+      d.service / 2 +
+      static_cast<Time>(std::exponential_distribution<double>(2.0 / static_cast<double>(d.service))(random_));
+  at(now_ + took, [this, number, endpoint] {
+    Host& served = hosts_.at(endpoint);
+    if (served.serving == 0) return;  // it went down meanwhile
+    --served.serving;
+    if (calls_.contains(number)) answer(number, Outcome::kOk, 0, false, true);
+    while (!served.queue.empty()) {
+      const uint64_t next = served.queue.front();
+      served.queue.pop_front();
+      if (!calls_.contains(next)) continue;
+      serve(served, next);
+      break;
+    }
+  });
+}
+
+void Fleet::answer(uint64_t number, Outcome outcome, Time wait, bool crowded, bool keep) {
+  const auto it = calls_.find(number);
+  if (it == calls_.end()) return;
+  const Call call = it->second;
+  calls_.erase(it);
+  const Endpoint endpoint = call.send.endpoint;
+  const bool held = outcome != Outcome::kConnectFailed && !crowded;  // it had a connection there
+  if (held && !keep && hosts_.at(endpoint).connections > 0) --hosts_.at(endpoint).connections;
+  Tally& tally = tallies_[hosts_.at(endpoint).destination];
+  at(now_ + (outcome == Outcome::kTimeout || outcome == Outcome::kCancelled ? 0 : model_.one_way),
+     [this, call, endpoint, outcome, wait, crowded, keep, &tally] {
+       Relay& relay = *call.relay;
+       if (relay.life != call.life) {
+         if (keep) --hosts_.at(endpoint).connections;
+         return;
+       }
+       if (keep) relay.idle[endpoint].push_back(now_);
+       AttemptEnded end;
+       end.id = call.send.id;
+       end.attempt = call.attempt;
+       end.endpoint = endpoint;
+       end.outcome = outcome;
+       end.took = now_ - call.sent;
+       end.wait = wait;
+       end.crowded = crowded;
+       if (outcome == Outcome::kOk) {
+         end.final = true;
+         if (const auto message = relay.held.find(call.send.id); message != relay.held.end()) {
+           const ClassSettings& c = model_.settings.classes.at(0);
+           ++tally.delivered;
+           tally.in_time += now_ <= message->second.in.due - c.give_up + c.target;
+           relay.held.erase(message);
+         }
+       }
+       happened(relay, end);
+     });
+}
+
+// Rule four: the most that came within a fall window while it was cold, against what it could do in that
+// time.
+void Fleet::judge_cold(const DestinationModel& d) {
+  const Settings& s = model_.settings;
+  if (d.down_to <= d.down_from || s.fall_window <= 0) return;
+  const std::vector<Time>& came = hosts_.at(d.hosts.front()).came;
+  const double warm = static_cast<double>(d.places) * static_cast<double>(d.hosts.size()) * 1e6 /
+                      static_cast<double>(d.service);
+  const auto able = [&](Time t) {  // calls that it could serve from its return up to then
+    const double age = static_cast<double>(std::clamp<Time>(t - d.down_to, 0, s.cold)) / 1e6;
+    const double all = std::max(1e-9, static_cast<double>(s.cold) / 1e6);
+    return warm * (s.start_capacity * age + (1 - s.start_capacity) * age * age / (2 * all));
+  };
+  Tally& tally = tallies_[d.number];
+  for (size_t i = 0; i < came.size(); ++i) {
+    if (came[i] < d.down_to || came[i] > d.down_to + s.cold) continue;
+    const Time from = std::max(d.down_to, came[i] - s.fall_window);
+    if (came[i] - from < s.fall_window) continue;
+    const auto first = std::lower_bound(came.begin(), came.end(), from);
+    const double sent = static_cast<double>(came.begin() + static_cast<int64_t>(i) + 1 - first);
+    tally.worst_cold = std::max(tally.worst_cold, sent / std::max(1e-9, able(came[i]) - able(from)));
+  }
+}
+
+}  // namespace umberhoist::emulator
--- /dev/null
+++ b/emulator/fleet.h
@@ -0,0 +1,123 @@
+// A fleet in virtual time: one real decision module for each relay, against a few modelled destinations. What
+// is harmless in one relay and harmful in three hundred shows here, in one process, on a made-up clock.
+//
+// A relay is modelled as the daemon's shell is: it keeps idle connections, and starts a call on a fresh one
+// where it has none. A host holds so many connections, serves so many calls at once, and queues a few. A run
+// is deterministic for a seed: events at one time happen in the order in which they were planned.
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <queue>
+#include <random>
+#include <vector>
+
+#include "firspool/policy.h"
+
+namespace umberhoist::emulator {
+
+using firspool::Endpoint;
+using firspool::Time;
+
+constexpr Time kSecond = 1'000'000;
+
+struct DestinationModel {
+  int number = 0;
+  int kind = 0;
+  std::vector<Endpoint> hosts;
+  double weight = 1;  // as the list tells it: calls a second that it takes from all relays together
+  // Each host of it:
+  Time service = 100'000;
+  int places = 4;       // calls served at once
+  int queue = 8;        // calls that wait for a place
+  int connections = 0;  // that it holds at most, idle ones counted; 0: any number
+  // The whole of it:
+  double rate = 0;        // calls a second above which it turns away; 0: none
+  double told_share = 0;  // of these refusals, those that tell to wait
+  Time wait = 0;          // and for how long
+  Time down_from = 0;     // from then on it refuses connections
+  Time down_to = 0;       // and is back, cold, from here on
+  double load = 0;        // messages a second handed in for it, over all relays
+};
+
+struct FleetModel {
+  firspool::Settings settings;  // `relays` says how many
+  std::vector<DestinationModel> destinations;
+  std::vector<double> shares;  // of the traffic, for each relay; empty: alike
+  Time one_way = 20'000;       // to a host
+  int handshake = 2;           // round trips that a new connection takes
+  Time length = 30 * kSecond;  // messages are handed in for so long
+  uint64_t seed = 1;
+};
+
+struct Tally {  // of one destination
+  int64_t offered = 0;
+  int64_t delivered = 0;
+  int64_t in_time = 0;
+  int64_t refused = 0;
+  int64_t failed = 0;
+  int64_t calls = 0;    // that reached a host which was up
+  int64_t fresh = 0;    // of these, on a new connection
+  int64_t crowded = 0;  // turned away for want of a place among its connections
+  int64_t full = 0;     // turned away for another reason
+  int64_t down = 0;     // that found it down
+  int64_t probes = 0;
+  int most_connections = 0;  // held by one host at once
+  // The most that was sent in a fall window after its return, in parts of what it could do then.
+  double worst_cold = 0;
+};
+
+class Fleet {
+ public:
+  explicit Fleet(FleetModel model);
+  ~Fleet();
+
+  void at(Time when, std::function<void()> what);  // something that the test does on the way
+  void restart(size_t relay);  // forgets all, but is given back what its folder would hold
+  void run();
+
+  const Tally& tally(int destination) const { return tallies_.at(destination); }
+  Time now() const { return now_; }
+
+ private:
+  struct Relay;
+  struct Host;
+  struct Event {
+    Time at = 0;
+    uint64_t order = 0;
+    std::function<void()> what;
+    bool operator>(const Event& other) const { return at != other.at ? at > other.at : order > other.order; }
+  };
+
+  double chance() { return std::uniform_real_distribution<double>(0, 1)(random_); }
+  DestinationModel& destination_of(const Endpoint& endpoint);
+  void hand_in(const DestinationModel& destination);
+  void start(Relay& relay, bool first);
+  void happened(Relay& relay, firspool::Event event);
+  void step(Relay& relay);
+  void carry_out(Relay& relay, const firspool::Action& action);
+  void call(Relay& relay, const firspool::Send& send);
+  void reach(uint64_t call);
+  void serve(Host& host, uint64_t call);
+  void answer(uint64_t call, firspool::Outcome outcome, Time wait, bool crowded, bool keep);
+  void hang_up(Relay& relay, const Endpoint& endpoint, size_t keep);
+  void judge_cold(const DestinationModel& destination);
+
+  FleetModel model_;
+  std::mt19937_64 random_;
+  Time now_ = 0;
+  uint64_t order_ = 0;
+  uint64_t last_message_ = 0;
+  uint64_t last_call_ = 0;
+  std::priority_queue<Event, std::vector<Event>, std::greater<>> events_;
+  std::vector<std::unique_ptr<Relay>> relays_;
+  std::map<Endpoint, Host> hosts_;
+  std::map<int, Tally> tallies_;
+  struct Call;
+  std::map<uint64_t, Call> calls_;
+  std::discrete_distribution<size_t> front_;
+};
+
+}  // namespace umberhoist::emulator
--- a/relay/upstream.cpp
+++ b/relay/upstream.cpp
@@ -138,6 +138,7 @@
   }
 
   void connect() {
+    fresh_ = true;
     arm(std::min(deadline_, begun_ + owner_->limits_.connect_timeout));
     socket_.async_connect(call_.address, [self = shared_from_this()](const Error& error) {
       if (self->over_) return;
@@ -276,6 +277,9 @@
         wait_ = parse_wait(view(answer[http::field::retry_after]), owner_->limits_.most_wait);
         return finish(Outcome::kFull);
       case 503:
+        // Turned away and hung up on at once, on a new connection: the host holds all that it takes. Where it
+        // is over a limit or its queue is full, the connection stays.
+        crowded_ = fresh_ && !parser_->keep_alive();
         return finish(view(answer["X-Egress-Full"]) == "1" ? Outcome::kMoot : Outcome::kFull);
       case 504:
         return finish(Outcome::kMoot);
@@ -310,6 +314,7 @@
     out.final = final_;
     out.took = took;
     out.wait = wait_;
+    out.crowded = crowded_;
     out.report = std::move(report_);
     owner_->ended_(out, began_);
   }
@@ -327,6 +332,8 @@
   bool began_ = false;
   bool written_ = false;
   bool over_ = false;
+  bool fresh_ = false;  // it began on a new connection
+  bool crowded_ = false;
   bool idle_ = false;       // the connection may be used again
   bool heard_ = false;      // the answer has begun
   bool line_ = false;       // the parser has taken its first line
--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -205,7 +205,8 @@
 // What is alike among destinations of a kind: the prior for one that this relay seldom calls.
 struct Kind {
   Latency latency;
-  double unconnected = 0;  // share of calls that got no connection; falls slowly
+  double unconnected = 0;             // share of calls that got no connection; falls slowly
+  Time crowded_at = -3600 * kSecond;  // when a host last held all the connections that it takes
 };
 
 struct Destination {
@@ -382,7 +383,7 @@
     host.last_used = now_;
     l.scouts -= attempt.scout;
     learn(e, attempt, host, l, d);
-    if (host.calls == 0 && kinds_[d.kind].unconnected > kFullTable) close_idle(host);
+    if (host.calls == 0 && scarce(kinds_[d.kind])) close_idle(host);
     const auto found = messages_.find(e.id);
     if (found == messages_.end()) return;
     Message& m = found->second;
@@ -431,6 +432,7 @@
         if (e.wait > 0) {
           l.wait_until = std::max(l.wait_until, now_ + e.wait + set_.tick + random_.between(0, kPauseMost));
         }
+        if (e.crowded) return crowded(d.kind);
         if (e.wait == 0) narrow(attempt, l);
         return unserved(attempt, l, false, e.wait > 0);
       case Outcome::kError:
@@ -522,6 +524,21 @@
     }
   }
 
+  // A host of this kind holds all the connections that it takes: no limit on calls and no sign of an outage.
+  // Guards against large fleets, where each relay seldom calls a host and one idle connection of each fills
+  // any table: all that are idle at the kind's hosts go, and for a while none is kept there.
+  void crowded(int kind) {
+    const bool known = scarce(kinds_[kind]);
+    kinds_[kind].crowded_at = now_;
+    if (known) return;
+    for (auto& [endpoint, host] : hosts_) {
+      if (host.conns > 0 && host.calls == 0 && destinations_[host.member.destination].kind == kind) {
+        close_idle(host);
+      }
+    }
+  }
+  bool scarce(const Kind& k) const { return k.unconnected > kFullTable || now_ - k.crowded_at < kKeepRegain; }
+
   void avoid(Host& host) {
     host.avoid_until = now_ + std::min(kAvoidMost, kAvoidLeast << std::min(host.fails, 3));
     ++host.fails;
--- a/tests/upstream_test.cpp
+++ b/tests/upstream_test.cpp
@@ -60,6 +60,22 @@
       [](const ProbeEnded&) {}};
 };
 
+// A full table of connections: turned away and hung up on, on a new connection. On one that was in use it is
+// the host that leaves, and where the connection stays it is over a limit.
+TEST_F(UpstreamTest, TellsAFullTableFromALimit) {
+  const auto hang_up = [](Host& host) {
+    host.next();
+    host.answer("503", "Connection: close\r\n");
+    host.drop();
+  };
+  const AttemptEnded crowded = call(hang_up);
+  EXPECT_EQ(crowded.outcome, Outcome::kFull);
+  EXPECT_TRUE(crowded.crowded);
+  EXPECT_FALSE(call(answering("503")).crowded);  // on a new one that stays
+  EXPECT_FALSE(call(hang_up).crowded);           // on that
+  EXPECT_EQ(host_.connections(), 2);
+}
+
 TEST_F(UpstreamTest, ReadsEachAnswer) {
   const AttemptEnded ok = call(answering("200", "X-Load-Report: x0=0.5,x1=25\r\n"));
   EXPECT_EQ(ok.outcome, Outcome::kOk);
