--- a/emulator/fleet.cpp
+++ b/emulator/fleet.cpp
@@ -4,6 +4,7 @@
 #include <cmath>
 #include <deque>
 #include <limits>
+#include <set>
 #include <utility>
 
 namespace umberhoist::emulator {
@@ -31,8 +32,13 @@
   int connections = 0;
   int serving = 0;
   std::deque<uint64_t> queue;
-  Time free_at = 0;        // of the destination's rate: when the next call may come (on the first host)
-  std::vector<Time> came;  // calls that came to the destination (on the first host)
+  Time free_at = 0;  // of the destination's rate: when the next call may come (on the first host)
+  struct Came {
+    Time at = 0;
+    size_t relay = 0;
+  };
+  std::vector<Came> came;    // calls that came to the destination (on the first host)
+  std::set<size_t> knowing;  // relays that saw a call or probe fail in its outage (on the first host)
 };
 
 struct Fleet::Call {
@@ -82,8 +88,7 @@
 
 void Fleet::at(Time when, std::function<void()> what) { events_.push({when, order_++, std::move(what)}); }
 
-DestinationModel& Fleet::destination_of(const Endpoint& endpoint) {
-  const int number = hosts_.at(endpoint).destination;
+DestinationModel& Fleet::destination(int number) {
   return *std::find_if(model_.destinations.begin(), model_.destinations.end(),
                        [&](const auto& d) { return d.number == number; });
 }
@@ -174,7 +179,9 @@
   if (const auto* send = std::get_if<Send>(&action)) {
     call(relay, *send);
   } else if (const auto* refuse = std::get_if<Refuse>(&action)) {
-    ++tallies_[relay.held.at(refuse->id).in.destination].refused;
+    const Arrival& in = relay.held.at(refuse->id).in;
+    ++tallies_[in.destination].refused;
+    tallies_[in.destination].refused_late += in.due - now_ < kSecond;
     relay.held.erase(refuse->id);
   } else if (const auto* fail = std::get_if<Fail>(&action)) {
     ++tallies_[relay.held.at(fail->id).in.destination].failed;
@@ -185,11 +192,12 @@
       return answer(number, Outcome::kCancelled, 0, false, false);
     }
   } else if (const auto* probe = std::get_if<Probe>(&action)) {
-    const DestinationModel& d = destination_of(probe->endpoint);
+    const DestinationModel& d = destination(hosts_.at(probe->endpoint).destination);
     const Endpoint endpoint = probe->endpoint;
     ++tallies_[d.number].probes;
     const uint64_t life = relay.life;
     const bool up = now_ < d.down_from || now_ >= d.down_to;
+    if (!up) hosts_.at(d.hosts.front()).knowing.insert(relay.number);
     at(now_ + 4 * model_.one_way, [this, &relay, endpoint, life, up] {
       if (relay.life == life) happened(relay, ProbeEnded{endpoint, up, 4 * model_.one_way, {}});
     });
@@ -238,15 +246,16 @@
   if (it == calls_.end()) return;
   Call& call = it->second;
   Host& host = hosts_.at(call.send.endpoint);
-  const DestinationModel& d = destination_of(call.send.endpoint);
+  const DestinationModel& d = destination(hosts_.at(call.send.endpoint).destination);
   Tally& tally = tallies_[d.number];
   if (now_ >= d.down_from && now_ < d.down_to) {
     ++tally.down;
+    hosts_.at(d.hosts.front()).knowing.insert(call.relay->number);
     return answer(number, Outcome::kConnectFailed, 0, false, false);
   }
   ++tally.calls;
   Host& first = hosts_.at(d.hosts.front());
-  first.came.push_back(now_);
+  first.came.push_back({now_, call.relay->number});
   if (call.fresh) {
     ++tally.fresh;
     if (d.connections > 0 && host.connections >= d.connections) {
@@ -273,7 +282,7 @@
 
 void Fleet::serve(Host& host, uint64_t number) {
   ++host.serving;
-  const DestinationModel& d = destination_of(calls_.at(number).send.endpoint);
+  const DestinationModel& d = destination(hosts_.at(calls_.at(number).send.endpoint).destination);
   const Endpoint endpoint = calls_.at(number).send.endpoint;
   const Time took =
       d.service / 2 +
@@ -332,11 +341,11 @@
 }
 
 // Rule four: the most that came within a fall window while it was cold, against what it could do in that
-// time.
+// time; and the most of this that came from relays which saw it fail, where they sent two thirds of it.
 void Fleet::judge_cold(const DestinationModel& d) {
   const Settings& s = model_.settings;
   if (d.down_to <= d.down_from || s.fall_window <= 0) return;
-  const std::vector<Time>& came = hosts_.at(d.hosts.front()).came;
+  const Host& host = hosts_.at(d.hosts.front());
   const double warm = static_cast<double>(d.places) * static_cast<double>(d.hosts.size()) * 1e6 /
                       static_cast<double>(d.service);
   const auto able = [&](Time t) {  // calls that it could serve from its return up to then
@@ -345,13 +354,19 @@
     return warm * (s.start_capacity * age + (1 - s.start_capacity) * age * age / (2 * all));
   };
   Tally& tally = tallies_[d.number];
-  for (size_t i = 0; i < came.size(); ++i) {
-    if (came[i] < d.down_to || came[i] > d.down_to + s.cold) continue;
-    const Time from = std::max(d.down_to, came[i] - s.fall_window);
-    if (came[i] - from < s.fall_window) continue;
-    const auto first = std::lower_bound(came.begin(), came.end(), from);
-    const double sent = static_cast<double>(came.begin() + static_cast<int64_t>(i) + 1 - first);
-    tally.worst_cold = std::max(tally.worst_cold, sent / std::max(1e-9, able(came[i]) - able(from)));
+  size_t first = 0;
+  double knew = 0;
+  for (size_t i = 0; i < host.came.size() && host.came[i].at <= d.down_to + s.cold; ++i) {
+    const Time from = host.came[i].at - s.fall_window;
+    knew += host.knowing.contains(host.came[i].relay);
+    while (host.came[first].at < std::max(from, d.down_to) && first < i) {
+      knew -= host.knowing.contains(host.came[first++].relay);
+    }
+    if (from < d.down_to) continue;
+    const double sent = static_cast<double>(i + 1 - first);
+    const double load = sent / std::max(1e-9, able(host.came[i].at) - able(from));
+    tally.worst_cold = std::max(tally.worst_cold, load);
+    if (3 * knew >= 2 * sent) tally.worst_knowing = std::max(tally.worst_knowing, load);
   }
 }
 
--- a/emulator/fleet.h
+++ b/emulator/fleet.h
@@ -57,6 +57,7 @@
   int64_t delivered = 0;
   int64_t in_time = 0;
   int64_t refused = 0;
+  int64_t refused_late = 0;  // of these, in the last second of their time
   int64_t failed = 0;
   int64_t calls = 0;    // that reached a host which was up
   int64_t fresh = 0;    // of these, on a new connection
@@ -67,6 +68,7 @@
   int most_connections = 0;  // held by one host at once
   // The most that was sent in a fall window after its return, in parts of what it could do then.
   double worst_cold = 0;
+  double worst_knowing = 0;  // and where relays that saw it fail sent two thirds of this
 };
 
 class Fleet {
@@ -78,6 +80,7 @@
   void restart(size_t relay);  // forgets all, but is given back what its folder would hold
   void run();
 
+  DestinationModel& destination(int number);  // may be changed on the way
   const Tally& tally(int destination) const { return tallies_.at(destination); }
   Time now() const { return now_; }
 
@@ -92,7 +95,6 @@
   };
 
   double chance() { return std::uniform_real_distribution<double>(0, 1)(random_); }
-  DestinationModel& destination_of(const Endpoint& endpoint);
   void hand_in(const DestinationModel& destination);
   void start(Relay& relay, bool first);
   void happened(Relay& relay, firspool::Event event);
--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -214,6 +214,7 @@
   int tokens = kBucketCap;  // in parts
   int calls = 0;
   DestinationMemory remembered{0, kBucketCap};
+  Rate served;
   Latency usual;  // the pace without outliers, against which the slot share narrows
   Latency latency;
 };
@@ -415,6 +416,7 @@
     switch (e.outcome) {
       case Outcome::kOk:
         d.tokens = std::min(kBucketCap, d.tokens + 1);
+        d.served.add(now_);
         host.latency.add(seconds(e.took));
         kinds_[d.kind].latency.add(seconds(e.took));
         learn_latency(d, e.took);
@@ -778,6 +780,16 @@
     return c.effect == Effect::kUnsafe || (c.effect == Effect::kKeyed && now_ >= window_end(m));
   }
 
+  // A repeat without a token, where at the rate of served calls none is earned before its time is up. Guards
+  // against holding what a rare caller will never send: its client may still find another relay.
+  bool penniless(const Message& m) {
+    if (!m.repeat || !refusable(m)) return false;
+    const Destination& d = destinations_[m.in.destination];
+    if (d.tokens >= kToken) return false;
+    const double parts = d.served.per_second(now_) * seconds(last_moment(m) - now_);
+    return d.tokens + parts < kToken;
+  }
+
   Time window_end(const Message& m) const {
     return m.ran_sent + set_.classes[m.in.message_class].key_window - set_.tick;
   }
@@ -806,7 +818,7 @@
     std::vector<uint64_t> over;
     for (const auto& [id, m] : messages_) {
       if (m.out) continue;
-      if (hopeless(m) || now_ >= last_moment(m)) {
+      if (hopeless(m) || penniless(m) || now_ >= last_moment(m)) {
         over.push_back(id);
       } else {
         wake(last_moment(m));
--- a/tests/emulator/fleet_test.cpp
+++ b/tests/emulator/fleet_test.cpp
@@ -65,6 +65,9 @@
     all.offered += t.offered;
     all.delivered += t.delivered;
     all.in_time += t.in_time;
+    all.refused += t.refused;
+    all.failed += t.failed;
+    all.refused_late += t.refused_late;
     all.calls += t.calls;
     all.fresh += t.fresh;
     all.crowded += t.crowded;
@@ -95,5 +98,113 @@
   EXPECT_LT(static_cast<double>(all.fresh), 0.2 * static_cast<double>(all.calls));
 }
 
+// A full table and drained buckets: what will earn no token in its time is given back while its client can
+// still go elsewhere, not held to its last moment.
+TEST(FleetTokens, WhatEarnsNoTokenIsGivenBackWhileItsTimeLasts) {
+  for (const uint64_t seed : {1, 2}) {
+    FleetModel model = small_tables(300, seed);
+    for (DestinationModel& d : model.destinations) {
+      d.connections = 8;
+      d.load = 90;
+    }
+    Fleet fleet(model);
+    fleet.run();
+    const Tally all = sum(fleet, model);
+    EXPECT_GT(all.refused, 0) << "seed " << seed;
+    EXPECT_LT(static_cast<double>(all.refused_late), 0.2 * static_cast<double>(all.refused))
+        << "seed " << seed;
+  }
+}
+
+// One destination that each of 300 relays calls a few times a minute is out, and comes back cold.
+FleetModel rare_outage(uint64_t seed) {
+  FleetModel model;
+  model.settings = fleet_settings(300);
+  model.seed = seed;
+  model.length = 60 * kSecond;
+  DestinationModel d;
+  d.number = 1;
+  d.hosts = {{1, 80}, {2, 80}};
+  d.service = 120'000;
+  d.places = 1;
+  d.queue = 4;
+  d.weight = 12;
+  d.load = 9;
+  d.down_from = 20 * kSecond;
+  d.down_to = 28 * kSecond;
+  model.destinations.push_back(d);
+  return model;
+}
+
+// Scouts, probes and first calls of all relays together stay in its budget, and what is held still ends in
+// time.
+TEST(FleetOutage, ADestinationThatEachRelayCallsRarelyIsNotPushedOver) {
+  for (const uint64_t seed : {1, 2, 3}) {
+    const FleetModel model = rare_outage(seed);
+    Fleet fleet(model);
+    fleet.run();
+    const Tally& t = fleet.tally(1);
+    EXPECT_LT(t.worst_knowing, model.settings.fall_multiple) << "seed " << seed;
+    EXPECT_EQ(t.offered, t.delivered + t.refused + t.failed) << "seed " << seed;
+  }
+}
+
+// Seven in ten relays are killed at once and are all back within a second, with their folders.
+TEST(FleetRestart, AKilledHerdThatComesBackTogetherIsServed) {
+  for (const uint64_t seed : {1, 2}) {
+    FleetModel model = small_tables(300, seed);
+    for (DestinationModel& d : model.destinations) d.connections = 0;
+    Fleet fleet(model);
+    for (size_t i = 0; i < 210; ++i)
+      fleet.at(12 * kSecond + static_cast<Time>(i) * 4700, [&fleet, i] { fleet.restart(i); });
+    for (size_t i = 0; i < 90; ++i)
+      fleet.at(25 * kSecond + static_cast<Time>(i) * 11000, [&fleet, i] { fleet.restart(3 * i); });
+    fleet.run();
+    const Tally all = sum(fleet, model);
+    EXPECT_EQ(all.offered, all.delivered + all.refused + all.failed) << "seed " << seed;
+    EXPECT_GT(static_cast<double>(all.in_time), 0.95 * static_cast<double>(all.offered)) << "seed " << seed;
+  }
+}
+
+// Traffic far from even: one relay has five times the mean, many have almost none.
+TEST(FleetShares, UnevenTrafficIsServedAsEvenIs) {
+  for (const uint64_t seed : {1, 2}) {
+    FleetModel model = small_tables(300, seed);
+    for (DestinationModel& d : model.destinations) {
+      d.connections = 0;
+      d.rate = 50;
+      d.told_share = 0.5;
+      d.wait = 500'000;
+    }
+    for (int i = 0; i < 300; ++i) model.shares.push_back(i % 20 == 0 ? 5.0 : i % 2 == 0 ? 0.05 : 1.5);
+    Fleet fleet(model);
+    fleet.run();
+    const Tally all = sum(fleet, model);
+    EXPECT_GT(static_cast<double>(all.in_time), 0.9 * static_cast<double>(all.offered)) << "seed " << seed;
+  }
+}
+
+// A destination lowers its limit under load: refusals and told waits, and no storm of repeats.
+TEST(FleetLimits, ALoweredLimitIsUsedAndBringsNoStorm) {
+  for (const uint64_t seed : {1, 2}) {
+    FleetModel model = small_tables(300, seed);
+    for (DestinationModel& d : model.destinations) {
+      d.connections = 0;
+      d.rate = 60;
+      d.told_share = 0.5;
+      d.wait = 500'000;
+    }
+    Fleet fleet(model);
+    fleet.at(8 * kSecond, [&fleet] {
+      for (int i = 0; i < 10; ++i) fleet.destination(i).rate = 30;
+    });
+    fleet.run();
+    const Tally all = sum(fleet, model);
+    // What it could take: 8 s of all that came, then two thirds.
+    EXPECT_GT(static_cast<double>(all.delivered), 0.7 * static_cast<double>(all.offered)) << "seed " << seed;
+    EXPECT_LT(static_cast<double>(all.calls), 1.5 * static_cast<double>(all.offered)) << "seed " << seed;
+  }
+}
+
 }  // namespace
 }  // namespace umberhoist::emulator
--- a/tests/policy_test.cpp
+++ b/tests/policy_test.cpp
@@ -91,6 +91,41 @@
   EXPECT_EQ(repeats_of_one_failure(), 1);
 }
 
+// A rare caller earns a tenth of a token in minutes: what waits for one is given back, with its client still
+// in time to go elsewhere. Where calls are served often it waits, as a token is near.
+TEST(RetryBucket, ARepeatThatEarnsNoTokenInItsTimeIsGivenBack) {
+  for (const bool often : {false, true}) {
+    Settings s = plain_settings();
+    s.max_attempts = 30;
+    const MembersChanged list = unguarded(s);
+    Relay relay(s);
+    relay.step(0, {list});
+    Time now = 0;
+    uint64_t id = 0;
+    if (often) {
+      for (int i = 0; i < 100; ++i) now = serve_one(relay, ++id, now);
+    }
+    const uint64_t mine = ++id;
+    auto sends = all_of<Send>(relay.step(now, {relay.message(mine, now)}));
+    int attempt = 0;
+    std::vector<Refuse> refused;
+    for (int i = 0; i < 300 && refused.empty() && attempt < 11; ++i) {
+      std::vector<Event> events;
+      for (const Send& send : sends) {
+        AttemptEnded end = ended(send, attempt++, Outcome::kFull);
+        end.crowded = true;
+        events.push_back(end);
+      }
+      const auto actions = relay.step(now += 10'000, events);
+      sends = all_of<Send>(actions);
+      refused = all_of<Refuse>(actions);
+    }
+    EXPECT_EQ(attempt, 11);  // one, and the bucket's ten
+    EXPECT_EQ(refused.size(), often ? 0u : 1u);
+    relay.idle(now + 10'000, now + 30 * kSecond);
+  }
+}
+
 // ---- Promises of a class ----
 
 TEST(Promises, UnsafeIsRepeatedOnlyAfterProofThatItNeverRan) {
