Rare callers spread over a destination's hosts; what may have run waits for its token

Change: a rare caller's own liking, drawn from its seed, decides among hosts that it never called; only what never ran is given back for want of tokens.

--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -72,6 +72,7 @@
 constexpr Time kRetryMost = 1500 * kMs;
 
 // Ordering and choice of endpoint.
+constexpr double kTaste = 1e-3;         // seconds: a relay's own liking for a host decides among equals only
 constexpr double kSecondsPerPrice = 5;  // seconds of latency that a price of 1 a call is held against
 
 double seconds(Time t) { return static_cast<double>(t) / 1e6; }
@@ -202,6 +203,7 @@
   int fails = 0;
   Time avoid_until = 0;
   Latency latency;
+  double taste = 0;  // of this relay, from 0 to 1: what decides among equals
 };
 
 // What is alike among destinations of a kind: the prior for one that this relay seldom calls.
@@ -225,7 +227,7 @@
 
 class Policy::Impl {
  public:
-  Impl(Settings settings, uint64_t seed) : set_(std::move(settings)), random_(seed) {
+  Impl(Settings settings, uint64_t seed) : set_(std::move(settings)), random_(seed), taste_(seed) {
     if (set_.classes.empty()) throw std::invalid_argument("settings hold no class");
     for (const ClassSettings& c : set_.classes) longest_ = std::max(longest_, c.give_up);
   }
@@ -270,7 +272,12 @@
     }
     if (!e.members) return;
     for (const Member& m : *e.members) {
-      Host& host = hosts_[m.endpoint];
+      const auto [known, fresh] = hosts_.try_emplace(m.endpoint);
+      Host& host = known->second;
+      if (fresh) {
+        host.taste =
+            seconds(Random(taste_ + m.endpoint.address * 65536ull + m.endpoint.port).between(0, kSecond));
+      }
       host.member = m;
       host.lane = &lane_of(m);
       host.ready = m.listing == Listing::kReady;
@@ -636,9 +643,8 @@
         continue;
       }
       const Time span = now_ - l.streak_since;
-      const bool rare = pooled_rate(l) * kHolders < kDeadStreak;
-      const bool dead =
-          l.streak >= (rare ? kRareStreak : kDeadStreak) && l.hard >= (rare ? 1 : 2) && span >= kDeadSpan;
+      const bool dead = l.streak >= (rare(l) ? kRareStreak : kDeadStreak) && l.hard >= (rare(l) ? 1 : 2) &&
+                        span >= kDeadSpan;
       const bool shut = l.streak >= kShutStreak && span >= kShutSpan;
       if (dead || shut) {
         go_out(l, dead ? "calls fail" : "all refused", false);
@@ -668,6 +674,9 @@
     return std::max(even, (l.served.per_second(now_) * memory + 1) / (seen + 1 / even));
   }
 
+  // Whether three calls of this relay take longer than a short outage.
+  bool rare(const Lane& l) const { return pooled_rate(l) * kHolders < kDeadStreak; }
+
   // Refused above a limit that all relays share: send slower, from the own demand seen, and slower again with
   // each refusal in a row; at random, so that relays turned away together do not come back together.
   void narrow(const Attempt& attempt, Lane& l) {
@@ -785,9 +794,10 @@
   }
 
   // A repeat without a token, where at the rate of served calls none is earned before its time is up. Guards
-  // against holding what a rare caller will never send: its client may still find another relay.
+  // against holding what a rare caller will never send: its client may still find another relay. Not where it
+  // may have run: at a destination that fails its calls, clients would then repeat what the bucket does not.
   bool penniless(const Message& m) {
-    if (!m.repeat || !refusable(m)) return false;
+    if (!m.repeat || m.ran) return false;
     const Destination& d = destinations_[m.in.destination];
     if (d.tokens >= kToken) return false;
     const double parts = d.served.per_second(now_) * seconds(last_moment(m) - now_);
@@ -997,6 +1007,8 @@
     const Latency& latency =
         host.latency.seen > 0 ? host.latency : latency_of(destinations_[host.member.destination]);
     double cost = latency.mean * (1 + 0.5 * host.calls) / std::max(0.1, host.lane->room);
+    // Of a host that was never called nothing is known: all of a fleet of rare callers would take the first.
+    if (host.latency.seen == 0 && rare(*host.lane)) cost += kTaste * host.taste;
     if (host.member.zone != set_.zone) cost += kSecondsPerPrice * set_.price_cross_zone;
     if (needs_conn(host)) cost += kSecondsPerPrice * set_.price_handshake;
     if (host.avoid_until > now_) cost += seconds(kAvoidMost);
@@ -1062,6 +1074,7 @@
 
   Settings set_;
   Random random_;
+  uint64_t taste_;  // seed of this relay's liking for hosts
   Time now_ = std::numeric_limits<Time>::min();
   Time started_ = kNever;  // when the first step was
   std::vector<Action>* out_ = nullptr;
--- a/tests/emulator/fleet_test.cpp
+++ b/tests/emulator/fleet_test.cpp
@@ -103,6 +103,28 @@
   EXPECT_LT(static_cast<double>(all.fresh), 0.2 * static_cast<double>(all.calls));
 }
 
+// Two hosts of which a rare caller knows nothing: all relays together use both.
+TEST(FleetChoice, RareCallersSpreadOverTheHostsOfADestination) {
+  for (const uint64_t seed : {1, 2}) {
+    FleetModel model;
+    model.settings = fleet_settings(300);
+    model.seed = seed;
+    DestinationModel d;
+    d.number = 1;
+    d.hosts = {{1, 80}, {2, 80}};
+    d.places = 1;
+    d.queue = 2;
+    d.weight = 20;
+    d.load = 10;  // half of what both can do
+    model.destinations.push_back(d);
+    Fleet fleet(model);
+    fleet.run();
+    const Tally& t = fleet.tally(1);
+    EXPECT_GT(static_cast<double>(t.in_time), 0.9 * static_cast<double>(t.offered)) << "seed " << seed;
+    EXPECT_LT(static_cast<double>(t.full), 0.1 * static_cast<double>(t.calls)) << "seed " << seed;
+  }
+}
+
 // A full table and drained buckets: what will earn no token in its time is given back while its client can
 // still go elsewhere, not held to its last moment.
 TEST(FleetTokens, WhatEarnsNoTokenIsGivenBackWhileItsTimeLasts) {
--- a/tests/policy_test.cpp
+++ b/tests/policy_test.cpp
@@ -94,7 +94,8 @@
 // A rare caller earns a tenth of a token in minutes: what waits for one is given back, with its client still
 // in time to go elsewhere. Where calls are served often it waits, as a token is near.
 TEST(RetryBucket, ARepeatThatEarnsNoTokenInItsTimeIsGivenBack) {
-  for (const bool often : {false, true}) {
+  for (const auto& [often, outcome] : {std::pair(false, Outcome::kFull), std::pair(true, Outcome::kFull),
+                                       std::pair(false, Outcome::kError)}) {
     Settings s = plain_settings();
     s.max_attempts = 30;
     const MembersChanged list = unguarded(s);
@@ -112,8 +113,8 @@
     for (int i = 0; i < 300 && refused.empty() && attempt < 11; ++i) {
       std::vector<Event> events;
       for (const Send& send : sends) {
-        AttemptEnded end = ended(send, attempt++, Outcome::kFull);
-        end.crowded = true;
+        AttemptEnded end = ended(send, attempt++, outcome);
+        end.crowded = outcome == Outcome::kFull;
         events.push_back(end);
       }
       const auto actions = relay.step(now += 10'000, events);
@@ -121,7 +122,7 @@
       refused = all_of<Refuse>(actions);
     }
     EXPECT_EQ(attempt, 11);  // one, and the bucket's ten
-    EXPECT_EQ(refused.size(), often ? 0u : 1u);
+    EXPECT_EQ(refused.size(), often || outcome == Outcome::kError ? 0u : 1u);
     relay.idle(now + 10'000, now + 30 * kSecond);
   }
 }
