--- a/tests/emulator/fleet_test.cpp
+++ b/tests/emulator/fleet_test.cpp
@@ -5,6 +5,7 @@
 
 #include <algorithm>
 #include <map>
+#include <vector>
 
 #include "rules_checker.h"
 
@@ -41,6 +42,13 @@
   EXPECT_EQ(t.drained, 0) << "seed " << seed;
 }
 
+// Of 300 relays: one in twenty has five times the mean, and half have almost none.
+std::vector<double> uneven() {
+  std::vector<double> shares;
+  for (int i = 0; i < 300; ++i) shares.push_back(i % 20 == 0 ? 5.0 : i % 2 == 0 ? 0.05 : 1.5);
+  return shares;
+}
+
 // Destinations with a limit, and no bound on connections.
 FleetModel limited(double rate, uint64_t seed) {
   FleetModel model = small_tables(300, seed);
@@ -65,6 +73,33 @@
   }
 }
 
+// For 5 s half as much again comes for hosts with few connections: all relays pay handshakes at once, and it
+// does not outlast the burst.
+TEST(FleetConnections, ABurstOfHandshakesAtSmallTablesIsOverWhenItEnds) {
+  for (const uint64_t seed : {1, 2}) {
+    const FleetModel model = small_tables(300, seed);
+    Fleet fleet(model);
+    Tally before;
+    Tally during;
+    for (const auto& [when, factor] : {std::pair(10 * kSecond, 1.5), std::pair(15 * kSecond, 1 / 1.5)}) {
+      fleet.at(when, [&fleet, factor = factor] {
+        for (int i = 0; i < 10; ++i) fleet.destination(i).load *= factor;
+      });
+    }
+    fleet.at(10 * kSecond, [&] { before = fleet.total(); });
+    fleet.at(18 * kSecond, [&] { during = fleet.total(); });
+    fleet.run();
+    const Tally all = fleet.total();
+    expect_whole(all, seed);
+    EXPECT_GT(part(all.in_time, all.offered), 0.9) << "seed " << seed;
+    EXPECT_GT(during.crowded - before.crowded, 0) << "seed " << seed;
+    // Calls for each message after the burst, and before it.
+    EXPECT_LT(part(all.calls - during.calls, all.offered - during.offered),
+              1.1 * part(before.calls, before.offered))
+        << "seed " << seed;
+  }
+}
+
 // The same hosts and three relays: the few idle connections do no harm, and are kept.
 TEST(FleetConnections, FewRelaysKeepTheirs) {
   const FleetModel model = small_tables(3, 1);
@@ -182,15 +217,16 @@
   }
 }
 
-// Loaded to its capacity before it goes out: refusals have slowed every relay, and in the outage each sees it
-// fail but once or twice. These are most of the load when it is back.
+// Loaded to its capacity before it goes out, with traffic far from even: refusals have slowed every relay,
+// and in the outage each sees it fail but once or twice. These are most of the load when it is back.
 TEST(FleetOutage, RareCallersThatSawItFailTwiceDoNotPushItOver) {
-  for (const uint64_t seed : {1, 2, 3, 4}) {
-    FleetModel model = outage(40, seed);
+  for (uint64_t seed = 1; seed <= 20; ++seed) {
+    FleetModel model = outage(20, seed);
     DestinationModel& d = model.destinations[0];
-    d.places = 2;
-    d.queue = 4;
-    d.weight = 48;
+    d.places = 1;
+    d.queue = 2;
+    d.weight = 24;
+    model.shares = uneven();
     Fleet fleet(model);
     fleet.run();
     const Tally& t = fleet.tally(1);
@@ -225,7 +261,7 @@
 TEST(FleetShares, UnevenTrafficIsServedAsEvenIs) {
   for (const uint64_t seed : {1, 2}) {
     FleetModel model = limited(50, seed);
-    for (int i = 0; i < 300; ++i) model.shares.push_back(i % 20 == 0 ? 5.0 : i % 2 == 0 ? 0.05 : 1.5);
+    model.shares = uneven();
     Fleet fleet(model);
     fleet.run();
     const Tally all = fleet.total();
--- a/tests/program_test.cpp
+++ b/tests/program_test.cpp
@@ -106,6 +106,24 @@
   EXPECT_TRUE(client.line().starts_with("-BUSY "));
 }
 
+TEST(Program, AClientThatComesAgainTooOftenIsToldWhenEachTime) {
+  Stage s;
+  s.config["settings"]["bounds"]["open_cap"] = 4;
+  Program small(s.config);
+  small.start();
+  Socket client = small.client();
+  for (int i = 0; i < 4; ++i) {
+    client.send(put_bytes("m" + std::to_string(i), kFacts));
+    EXPECT_EQ(client.line(), "+OK");
+  }
+  for (int i = 0; i < 200; ++i) {  // a new id each time, on the connection that it keeps
+    client.send(put_bytes("again" + std::to_string(i), kFacts));
+    const std::string answer = client.line();
+    ASSERT_TRUE(answer.starts_with("-BUSY ")) << answer;
+    EXPECT_GT(std::stoi(answer.substr(6)), 0);
+  }
+}
+
 // A call that was out when the process died may have run.
 TEST(Program, ResendsSafeAndKeyedMessagesThatWereOutAtAKill) {
   for (const std::string effect : {"safe", "keyed"}) {
--- a/tests/state/journal_test.cpp
+++ b/tests/state/journal_test.cpp
@@ -4,6 +4,7 @@
 
 #include <gtest/gtest.h>
 
+#include <optional>
 #include <random>
 
 #include "memory_files.h"
@@ -937,5 +938,39 @@
   EXPECT_EQ(recovered(damaged, 100'000).messages.size(), 1u);
 }
 
+// Five messages a second for 45 minutes, a host replaced every 5 s, a restart every 5 minutes: what stands in
+// the folder follows what is held, not what was.
+TEST(Journal, FortyFiveMinutesOfMessagesAndHostsLeaveTheFolderFlat) {
+  constexpr size_t kDisk = 300'000;
+  MemoryFiles files;
+  std::optional<Journal> journal;
+  size_t early = 0;
+  size_t late = 0;
+  for (int second = 0; second < 45 * 60; ++second) {
+    if (second % 300 == 0) {
+      journal.reset();
+      journal.emplace(files, options(kDisk, static_cast<uint64_t>(second) + 1));
+      journal->recover([](const Recovered&) {});
+    }
+    if (second % 5 == 0) {
+      ASSERT_TRUE(journal->remember("host " + std::to_string(second), std::string(150, 'h')));
+      ASSERT_TRUE(journal->remember("host " + std::to_string(second - 60), ""));
+    }
+    for (int i = 0; i < 5; ++i) {
+      const std::string id = std::to_string(second) + "-" + std::to_string(i);
+      ASSERT_TRUE(journal->accepted(message(id, 200), 1000 + second));
+      ASSERT_TRUE(journal->attempt(id, 0, second, 0));
+      if (second >= 10) journal->done(std::to_string(second - 10) + "-" + std::to_string(i));
+      journal->tidy(32 * 1024);
+    }
+    ASSERT_LE(journal->live(), 60u);
+    ASSERT_LE(journal->used(), kDisk);
+    if (second >= 300 && second < 900) early = std::max(early, journal->used());
+    if (second >= 2100) late = std::max(late, journal->used());
+  }
+  EXPECT_LT(late, early + early / 20);
+  EXPECT_LE(journal->remembered().size(), 13u);
+}
+
 }  // namespace
 }  // namespace umberhoist::state
