--- /dev/null
+++ b/fleet/service.cpp
@@ -0,0 +1,196 @@
+#include "fleet/service.h"
+
+#include <time.h>
+
+#include <atomic>
+#include <boost/asio/post.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <chrono>
+#include <cstdio>
+#include <mutex>
+#include <thread>
+
+#include "fleet/links.h"
+
+namespace umberhoist::fleet {
+namespace {
+
+using register_pb::Frame;
+
+constexpr std::chrono::milliseconds kTick{20};
+
+int64_t clock_us(clockid_t which) {
+  timespec now{};
+  ::clock_gettime(which, &now);
+  return now.tv_sec * 1'000'000 + now.tv_nsec / 1000;
+}
+
+// The steady clock that goes on while the machine sleeps: a lease must not outlast a suspended machine.
+int64_t lease_clock() { return clock_us(CLOCK_BOOTTIME); }
+
+reg::Now now() { return {lease_clock(), clock_us(CLOCK_REALTIME)}; }
+
+// The daemon's steady clock stands still meanwhile.
+int64_t daemon_offset() { return clock_us(CLOCK_MONOTONIC) - lease_clock(); }
+
+class Service : public Fleet {
+ public:
+  Service(boost::asio::io_context& daemon, const Config& config, uint64_t seed)
+      : daemon_(daemon),
+        files_(state::real_files(config.folder)),
+        links_(std::make_unique<Links>(
+            io_, config, [this](const Frame& frame, const Links::Reply& reply) { take(frame, reply); })),
+        node_(std::make_unique<reg::Node>(
+            config.node, *files_, seed, now(),
+            [this](const std::string& to, const Frame& frame) { links_->send(to, frame); },
+            [](const std::string& line) { std::fprintf(stderr, "%s\n", line.c_str()); })),
+        timer_(io_) {
+    publish();
+    tick();
+    thread_ = std::thread([this] { io_.run(); });
+  }
+
+  ~Service() override {
+    io_.stop();
+    thread_.join();
+    node_.reset();
+    links_.reset();
+  }
+
+  bool owns(int destination) override {
+    return view()->standing(shards::key_of(destination), lease_clock()) == reg::Standing::kOwner;
+  }
+
+  // Another relay scouts only if its owner says that it does: one that has nothing to scout with finds no
+  // end.
+  Scouts scouts(int destination) override {
+    switch (view()->standing(shards::key_of(destination), lease_clock())) {
+      case reg::Standing::kOwner:
+        return Scouts::kSelf;
+      case reg::Standing::kAlone:
+        return Scouts::kShared;
+      case reg::Standing::kOther:
+        break;
+    }
+    const std::lock_guard lock(mutex_);
+    for (const Sight& sight : sights_) {
+      if (sight.destination == destination && sight.by_owner && sight.scouting) return Scouts::kOther;
+    }
+    return Scouts::kShared;
+  }
+
+  bool heard() override { return view()->confirmed(lease_clock()); }
+
+  std::vector<Sight> sights() override {
+    const std::lock_guard lock(mutex_);
+    return sights_;
+  }
+
+  void sees(std::vector<Sight> sights) override {
+    boost::asio::post(io_, [this, sights = std::move(sights)] {
+      const int64_t offset = daemon_offset();
+      std::vector<reg::Sight> out;
+      for (const Sight& s : sights) {
+        reg::Sight sight;
+        sight.destination = s.destination;
+        sight.out_since = s.out_since == 0 ? 0 : s.out_since - offset;
+        sight.back_since = s.back_since == 0 ? 0 : s.back_since - offset;
+        sight.base = s.base;
+        sight.served = s.served;
+        sight.scouting = s.scouting;
+        out.push_back(sight);
+      }
+      node_->sees(std::move(out));
+    });
+  }
+
+  Version version() override {
+    const std::lock_guard lock(mutex_);
+    return version_;
+  }
+
+  void runs(uint64_t number) override {
+    boost::asio::post(io_, [this, number] { node_->runs_version(number); });
+  }
+
+  void propose(std::string text, std::function<void(bool, const std::string&)> told) override {
+    boost::asio::post(io_, [this, text = std::move(text), told = std::move(told)] {
+      node_->propose_version(text, now(), [this, told](bool done, const std::string& why) {
+        boost::asio::post(daemon_, [told, done, why] { told(done, why); });
+      });
+      publish();
+    });
+  }
+
+  void leaving() override {
+    boost::asio::post(io_, [this] { node_->leaving(); });
+  }
+
+ private:
+  std::shared_ptr<const reg::View> view() const { return view_.load(); }
+
+  void take(const Frame& frame, const Links::Reply& reply) {
+    if (frame.has_ask()) {
+      const uint64_t number = frame.ask().number();
+      node_->ask(frame.ask(), now(), [reply, number](bool done, const std::string& text) {
+        Frame out;
+        out.mutable_told()->set_number(number);
+        out.mutable_told()->set_done(done);
+        out.mutable_told()->set_text(text);
+        reply(out);
+      });
+    } else {
+      node_->receive(frame, now());
+    }
+    publish();
+  }
+
+  void tick() {
+    timer_.expires_after(kTick);
+    timer_.async_wait([this](const boost::system::error_code& error) {
+      if (error) return;
+      node_->tick(now());
+      publish();
+      tick();
+    });
+  }
+
+  void publish() {
+    view_.store(std::make_shared<const reg::View>(node_->view()));
+    const int64_t offset = daemon_offset();
+    const std::lock_guard lock(mutex_);
+    sights_.clear();
+    for (const reg::Sight& s : node_->sights(lease_clock())) {
+      sights_.push_back({static_cast<int>(s.destination), s.out_since == 0 ? 0 : s.out_since + offset,
+                         s.back_since == 0 ? 0 : s.back_since + offset, s.base, s.served, s.scouting,
+                         s.by_owner});
+    }
+    const register_pb::Version& version = node_->version();
+    // Not before a leader's word on it: the tail of a log may never have been agreed on.
+    if (node_->confirmed(lease_clock()) && version.number() != version_.number) {
+      version_ = {version.number(), version.text()};
+    }
+  }
+
+  boost::asio::io_context& daemon_;
+  boost::asio::io_context io_{1};
+  std::unique_ptr<state::Files> files_;
+  std::unique_ptr<Links> links_;
+  std::unique_ptr<reg::Node> node_;
+  boost::asio::steady_timer timer_;
+  std::atomic<std::shared_ptr<const reg::View>> view_;
+  std::mutex mutex_;
+  std::vector<Sight> sights_;
+  Version version_;
+  std::thread thread_;
+};
+
+}  // namespace
+
+std::unique_ptr<Fleet> join(boost::asio::io_context& daemon, const Config& config, uint64_t seed) {
+  std::error_code error;
+  std::filesystem::create_directory(config.folder, error);
+  return std::make_unique<Service>(daemon, config, seed);
+}
+
+}  // namespace umberhoist::fleet
--- a/register/node.cpp
+++ b/register/node.cpp
@@ -341,14 +341,18 @@
   for (const Sight& sight : own_sights_) {
     pb::Seen* seen = beat->add_seen();
     seen->set_destination(sight.destination);
-    seen->set_out_for(now_.steady_us - sight.out_since);
-    seen->set_back_for(sight.back_since == 0 ? 0 : std::max<int64_t>(1, now_.steady_us - sight.back_since));
+    if (sight.out_since != 0) seen->set_out_for(std::max<int64_t>(1, now_.steady_us - sight.out_since));
+    if (sight.back_since != 0) seen->set_back_for(std::max<int64_t>(1, now_.steady_us - sight.back_since));
     seen->set_base(sight.base);
+    seen->set_served(sight.served);
+    seen->set_scouting(sight.scouting);
   }
   if (self_votes()) {
     Beaten& own = beats_[options_.name];
     own = {now_.steady_us, *self, beat->map_index(), version_, diverged_};
-    for (const pb::Seen& seen : beat->seen()) told_[seen.destination()] = {seen, now_.steady_us};
+    for (const pb::Seen& seen : beat->seen()) {
+      hear(seen, standing(shards::key_of(seen.destination()), now_.steady_us) == Standing::kOwner);
+    }
   }
   for (const Peer& peer : options_.voters) {
     if (peer.name != options_.name) send(peer.name, frame);
@@ -369,9 +373,10 @@
     beaten.map_index = std::max(beaten.map_index, beat.map_index());
     beaten.version = beat.version();
     beaten.diverged = beat.diverged();
+    const shards::Map map = beat.seen_size() > 0 ? machine_.map() : shards::Map();
     for (const pb::Seen& seen : beat.seen()) {
-      if (told_.size() >= kMostSights && !told_.contains(seen.destination())) continue;
-      told_[seen.destination()] = {seen, now_.steady_us};
+      const shards::Range* range = shards::find(map, shards::key_of(seen.destination()));
+      hear(seen, range != nullptr && range->owner == frame.from());
     }
     answer->set_term(raft_->term());
     answer->set_lead(name_of_leader());
@@ -400,11 +405,16 @@
       answer->set_lease_map_index(state.map_index());
       grants_[frame.from()] = {now_.steady_us, state.map_index()};
     }
+    std::erase_if(told_, [&](const auto& told) { return now_.steady_us - told.second.at > kSightAge; });
     for (const auto& [destination, told] : told_) {
       pb::Seen* seen = answer->add_seen();
       *seen = told.seen;
       const int64_t age = now_.steady_us - told.at;
-      seen->set_out_for(seen->out_for() + age);
+      if (age > options_.dead_ms * kMs) {  // no longer a moment ago
+        seen->set_served(false);
+        seen->set_scouting(false);
+      }
+      if (seen->out_for() != 0) seen->set_out_for(seen->out_for() + age);
       if (seen->back_for() != 0) seen->set_back_for(seen->back_for() + age);
     }
   }
@@ -449,9 +459,8 @@
   if (answer.lease() && answer.lease_map_index() <= machine_.state().map_index() && !diverged_) {
     lease_until_ = std::max(lease_until_, sent->second + options_.lease_ms * kMs);
   }
-  for (const pb::Seen& seen : answer.seen()) {
-    if (told_.size() >= kMostSights && !told_.contains(seen.destination())) continue;
-    if (!self_votes()) told_[seen.destination()] = {seen, now_.steady_us};
+  if (!self_votes()) {
+    for (const pb::Seen& seen : answer.seen()) hear(seen, seen.by_owner());
   }
 }
 
@@ -543,37 +552,65 @@
     if (steady_us - told.at > kSightAge) continue;
     Sight sight;
     sight.destination = destination;
-    sight.out_since = told.at - told.seen.out_for();
+    sight.out_since = told.seen.out_for() == 0 ? 0 : told.at - told.seen.out_for();
     sight.back_since = told.seen.back_for() == 0 ? 0 : told.at - told.seen.back_for();
     sight.base = told.seen.base();
+    const bool lately = steady_us - told.at <= options_.dead_ms * kMs;
+    sight.served = told.seen.served() && lately;
+    sight.scouting = told.seen.scouting() && lately;
+    sight.by_owner = told.seen.by_owner();
     out.push_back(sight);
   }
   return out;
 }
 
-bool Node::confirmed(int64_t steady_us) const {
-  if (diverged_ || machine_.state().index() == 0) return false;
-  if (leading_) return steady_us - quorum_heard() <= options_.lease_ms * kMs;
-  return lead_heard_ >= 0 && steady_us - lead_heard_ <= options_.lease_ms * kMs;
+// For each destination one word: its owner's, or another's while its owner says nothing.
+void Node::hear(const pb::Seen& seen, bool by_owner) {
+  const auto known = told_.find(seen.destination());
+  if (known == told_.end() && told_.size() >= kMostSights) return;
+  if (!by_owner && known != told_.end() && known->second.seen.by_owner() &&
+      now_.steady_us - known->second.at < options_.dead_ms * kMs) {
+    return;
+  }
+  Told& told = told_[seen.destination()];
+  told = {seen, now_.steady_us};
+  told.seen.set_by_owner(by_owner);
 }
 
-Standing Node::standing(shards::Key key, int64_t steady_us) const {
+View Node::view() const {
   const pb::State& state = machine_.state();
-  if (diverged_ || state.map().epoch() == 0) return Standing::kAlone;
-  const auto owner = [&](const pb::Map& map) -> const std::string* {
+  const std::pair of{state.generation(), state.map_index()};
+  if (map_ == nullptr || map_of_ != of) {
+    map_ = std::make_shared<pb::Map>(state.map());
+    proposed_ = state.proposed().epoch() == 0 ? map_ : std::make_shared<pb::Map>(state.proposed());
+    map_of_ = of;
+  }
+  View out;
+  out.self = options_.name;
+  out.map = map_;
+  out.proposed = proposed_;
+  out.lease_until = lease_until_;
+  out.diverged = diverged_;
+  out.generation = generation();
+  const int64_t heard = leading_ ? quorum_heard() : lead_heard_;
+  if (state.index() != 0 && heard >= 0) out.confirmed_until = heard + options_.lease_ms * kMs;
+  return out;
+}
+
+Standing View::standing(shards::Key key, int64_t steady_us) const {
+  if (diverged || map == nullptr || map->epoch() == 0) return Standing::kAlone;
+  const auto owner = [&](const pb::Map& of) -> const std::string* {
     const auto after =
-        std::upper_bound(map.range().begin(), map.range().end(), key,
+        std::upper_bound(of.range().begin(), of.range().end(), key,
                          [](shards::Key k, const pb::Range& range) { return k < range.first(); });
-    return after == map.range().begin() ? nullptr : &std::prev(after)->owner();
+    return after == of.range().begin() ? nullptr : &std::prev(after)->owner();
   };
-  const std::string* own = owner(state.map());
-  const std::string* next = state.proposed().epoch() == 0 ? own : owner(state.proposed());
-  if (own != nullptr && *own == options_.name && next != nullptr && *next == options_.name &&
-      steady_us < lease_until_) {
+  const std::string* own = owner(*map);
+  const std::string* next = owner(*proposed);
+  if (own != nullptr && next != nullptr && *own == self && *next == self && steady_us < lease_until) {
     return Standing::kOwner;
   }
-  if (!confirmed(steady_us)) return Standing::kAlone;
-  return Standing::kOther;
+  return confirmed(steady_us) ? Standing::kOther : Standing::kAlone;
 }
 
 void Node::tick(Now now) {
--- a/register/node.h
+++ b/register/node.h
@@ -53,12 +53,16 @@
   int64_t clock_slack_us = 10'000;  // what a wall clock may be off beyond what its peers see
 };
 
-// One destination as its relay sees it, for those who come back and know nothing.
+// One destination as a relay sees it, for those who come back and know nothing, and for those who leave its
+// scouts to its owner. Times are steady microseconds of the relay that reads it.
 struct Sight {
   int64_t destination = 0;
-  int64_t out_since = 0;   // steady microseconds of this relay
+  int64_t out_since = 0;   // 0: no outage
   int64_t back_since = 0;  // 0: still out
-  double base = 0;
+  double base = 0;         // calls a second that its relay was served before
+  bool served = false;     // a call was served there a moment ago
+  bool scouting = false;   // it is out, and this relay holds something to scout with
+  bool by_owner = false;   // told by whoever owns it
 };
 
 enum class Standing {
@@ -67,6 +71,19 @@
   kOther,  // another relay does, or is about to
 };
 
+// What a relay may rest its acting on, to be looked at at the moment of acting, by any thread.
+struct View {
+  std::string self;
+  std::shared_ptr<const pb::Map> map, proposed;  // of one index
+  int64_t lease_until = 0;
+  int64_t confirmed_until = 0;  // steady microseconds; past it nothing is known to be so still
+  bool diverged = false;
+  uint64_t generation = 0;
+
+  Standing standing(shards::Key key, int64_t steady_us) const;
+  bool confirmed(int64_t steady_us) const { return !diverged && steady_us < confirmed_until; }
+};
+
 class Node {
  public:
   using Send = std::function<void(const std::string& to, const pb::Frame&)>;
@@ -86,12 +103,14 @@
   void sees(std::vector<Sight> sights) { own_sights_ = std::move(sights); }
   void leaving() { leaving_ = true; }
 
-  Standing standing(shards::Key key, int64_t steady_us) const;
+  View view() const;
+  Standing standing(shards::Key key, int64_t steady_us) const { return view().standing(key, steady_us); }
   const Machine& machine() const { return machine_; }
   // The version to run: one that is on its way, or the last that all reached. Number 0: none.
   const pb::Version& version() const;
   std::vector<Sight> sights(int64_t steady_us) const;  // what others told, freshest for each destination
-  bool confirmed(int64_t steady_us) const;  // what the machine holds was told by a leader's word lately
+  // What the machine holds was told by a leader's word lately.
+  bool confirmed(int64_t steady_us) const { return view().confirmed(steady_us); }
   bool leads() const { return leading_; }
   bool votes() const { return phase_ == Phase::kVoting; }
   bool diverged() const { return diverged_; }
@@ -141,6 +160,7 @@
     pb::Seen seen;
     int64_t at = 0;
   };
+  void hear(const pb::Seen& seen, bool by_owner);
 
   void open();
   void break_off();
@@ -213,6 +233,8 @@
   int64_t lease_until_ = 0;
   int64_t lead_heard_ = -1;  // when the last beat was sent that a voter with a leader answered
   std::string lead_;
+  mutable std::shared_ptr<const pb::Map> map_, proposed_;  // of the machine's map_index, for views
+  mutable std::pair<uint64_t, uint64_t> map_of_{0, 0};     // generation and map_index that they are of
   int64_t copy_kept_at_ = 0;
   uint64_t copy_kept_index_ = 0;
   uint64_t copy_kept_generation_ = 0;
