--- /dev/null
+++ b/ctl/fleet_verbs.h
@@ -0,0 +1,27 @@
+// umberhoistctl map, freeze and fleet: files are checked offline, everything else asks a relay.
+#pragma once
+
+#include <memory>
+#include <optional>
+#include <ostream>
+
+namespace CLI {
+class App;
+}
+
+namespace umberhoist::ctl {
+
+class FleetVerbs {
+ public:
+  explicit FleetVerbs(CLI::App& app);
+  ~FleetVerbs();
+  // Exit status of the verb that was given; nothing: none of these. 0: done, or open; 1: refused, or closed;
+  // 2: bad input, or defects.
+  std::optional<int> run(std::ostream& out, std::ostream& err);
+
+ private:
+  struct Words;
+  std::unique_ptr<Words> words_;
+};
+
+}  // namespace umberhoist::ctl
--- a/ctl/main.cpp
+++ b/ctl/main.cpp
@@ -3,10 +3,15 @@
 #include <iostream>
 
 #include "ctl/journal.h"
+#ifdef UMBERHOIST_FLEET
+#include "ctl/fleet_verbs.h"
+#endif
 
 int main(int argc, char** argv) {
   using namespace umberhoist::ctl;
-  CLI::App app{"Looks at what a relay keeps. Nothing is changed."};
+  CLI::App app{
+      "Looks at what a relay keeps, and at what a fleet agrees on. Only propose, declare, except and "
+      "restore change anything."};
   app.require_subcommand(1);
   auto* journal = app.add_subcommand("journal", "the state folder");
   journal->require_subcommand(1);
@@ -24,6 +29,9 @@
   dump->add_flag("--bodies", what.bodies, "with their bodies, in hexadecimal");
   dump->add_option("--segment", what.segment, "only this segment's records, by number");
   dump->add_option("--id", what.id, "only this message's");
+#ifdef UMBERHOIST_FLEET
+  FleetVerbs fleet(app);
+#endif
   app.footer(
       "Examples:\n  umberhoistctl journal check /run/state\n  umberhoistctl journal dump --live /run/state");
   try {
@@ -31,6 +39,9 @@
   } catch (const CLI::ParseError& error) {
     return app.exit(error) == 0 ? 0 : 2;
   }
+#ifdef UMBERHOIST_FLEET
+  if (const auto status = fleet.run(std::cout, std::cerr)) return *status;
+#endif
   return check->parsed() ? check_journal(folder, as_json, std::cout, std::cerr)
                          : dump_journal(what, std::cout, std::cerr);
 }
--- a/fleet/service.cpp
+++ b/fleet/service.cpp
@@ -45,6 +45,8 @@
             [this](const std::string& to, const Frame& frame) { links_->send(to, frame); },
             [](const std::string& line) { std::fprintf(stderr, "%s\n", line.c_str()); })),
         timer_(io_) {
+    const auto address = links_->address();
+    std::fprintf(stderr, "fleet listening on %s:%u\n", address.address().to_string().c_str(), address.port());
     publish();
     tick();
     thread_ = std::thread([this] { io_.run(); });
--- a/include/firspool/policy.h
+++ b/include/firspool/policy.h
@@ -197,12 +197,27 @@
   bool operator==(const DestinationMemory&) const = default;
 };
 
+// Who finds out when an outage of a destination ends. Of routes apart each relay does so itself.
+struct Scouting {
+  enum class By { kAll, kSelf, kOther };  // each relay its even part; this one for all; another one
+  int destination = 0;
+  By by = By::kAll;
+};
+
+// What another relay saw of a destination; of no weight against what this one saw itself.
+struct SeenElsewhere {
+  int destination = 0;
+  Time out_since = 0;
+  Time back_since = 0;  // 0: still out
+  double base = 0;      // served a second before, as that relay knew
+};
+
 struct Closing {  // this process ends soon: a call that may not be over by then is not started
   Time at = 0;
 };
 
 using Event = std::variant<MembersChanged, Arrival, AttemptEnded, ProbeEnded, Withdrawn, TimerFired, PeerNote,
-                           Closing, DestinationMemory>;
+                           Closing, DestinationMemory, Scouting, SeenElsewhere>;
 
 // ---- Actions ----
 
--- /dev/null
+++ b/recovery/return.h
@@ -0,0 +1,78 @@
+// How one relay comes back with what its folder holds: what is trusted at once, who is asked, and in which
+// order and how fast held messages are handed on, stage by stage. Each stage has its entry, its deadline and
+// what happens then; none waits without end. Without I/O and clock: facts and time in, numbers out.
+//
+//   stage     entered            left by                         at the deadline
+//   kAsking   folder was read    the fleet's word                alone, on even parts
+//   kHeld     from kAsking       nothing is held any more        the rest is handed on, as without a fleet
+//   kServing  from kHeld
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <string>
+#include <vector>
+
+namespace umberhoist::recovery {
+
+using Time = int64_t;  // microseconds, steady
+
+enum class Stage { kAsking, kHeld, kServing };
+
+struct Limits {
+  Time ask = 2'000'000;      // for the fleet's word
+  Time held = 15'000'000;    // in kHeld
+  Time first = 1'000'000;    // the owner's head start at a destination; then each tries with one message
+  Time again = 1'000'000;    // between tries at a destination that was not served yet
+  Time in_time = 3'000'000;  // a message is handed on so long before its end, whatever else: its end is owed
+  size_t at_once = 256;      // messages handed on in one turn
+};
+
+struct Held {
+  uint64_t number = 0;
+  int destination = 0;
+  double worth = 0;  // if it is delivered now
+  Time due = 0;
+  bool ends_now = false;  // unsafe, and it may have run: it is never sent, its end is due
+};
+
+class Return {
+ public:
+  Return(Limits limits, std::vector<Held> held, Time now);
+
+  void word(Time now);  // of the fleet: the calendar, the map and what others see are known
+  // Whether this relay may try a destination of which nothing is known: as its owner, or alone. Where it may
+  // not, it waits for the owner's word.
+  void may_try(int destination, bool yes) { gates_[destination].may_try = yes; }
+  // A call of this relay was served there, or failed.
+  void served(int destination, Time now);
+  void failed(int destination, Time now);
+  // Another relay was served there.
+  void told_served(int destination) { gates_[destination].open = true; }
+  // Ended otherwise, or withdrawn.
+  void drop(uint64_t number);
+
+  Stage stage() const { return stage_; }
+  bool alone() const { return alone_; }  // nobody's word came in time
+  size_t left() const { return held_.size(); }
+  // To be handed on now, in order: first ends that are due, then by worth and time left.
+  std::vector<uint64_t> next(Time now);
+
+ private:
+  struct Gate {
+    bool may_try = false;
+    bool open = false;  // served since the return
+    size_t window = 1;  // that may be out unanswered
+    size_t out = 0;
+    Time not_before = 0;
+  };
+
+  Limits limits_;
+  Stage stage_ = Stage::kAsking;
+  Time since_ = 0;
+  bool alone_ = false;
+  std::vector<Held> held_;  // in the order of service
+  std::map<int, Gate> gates_;
+};
+
+}  // namespace umberhoist::recovery
--- a/register/node.cpp
+++ b/register/node.cpp
@@ -351,7 +351,8 @@
     Beaten& own = beats_[options_.name];
     own = {now_.steady_us, *self, beat->map_index(), version_, diverged_};
     for (const pb::Seen& seen : beat->seen()) {
-      hear(seen, standing(shards::key_of(seen.destination()), now_.steady_us) == Standing::kOwner);
+      hear(seen, options_.name,
+           standing(shards::key_of(seen.destination()), now_.steady_us) == Standing::kOwner);
     }
   }
   for (const Peer& peer : options_.voters) {
@@ -376,7 +377,7 @@
     const shards::Map map = beat.seen_size() > 0 ? machine_.map() : shards::Map();
     for (const pb::Seen& seen : beat.seen()) {
       const shards::Range* range = shards::find(map, shards::key_of(seen.destination()));
-      hear(seen, range != nullptr && range->owner == frame.from());
+      hear(seen, frame.from(), range != nullptr && range->owner == frame.from());
     }
     answer->set_term(raft_->term());
     answer->set_lead(name_of_leader());
@@ -460,7 +461,7 @@
     lease_until_ = std::max(lease_until_, sent->second + options_.lease_ms * kMs);
   }
   if (!self_votes()) {
-    for (const pb::Seen& seen : answer.seen()) hear(seen, seen.by_owner());
+    for (const pb::Seen& seen : answer.seen()) hear(seen, seen.by(), seen.by_owner());
   }
 }
 
@@ -549,7 +550,7 @@
 std::vector<Sight> Node::sights(int64_t steady_us) const {
   std::vector<Sight> out;
   for (const auto& [destination, told] : told_) {
-    if (steady_us - told.at > kSightAge) continue;
+    if (steady_us - told.at > kSightAge || told.seen.by() == options_.name) continue;
     Sight sight;
     sight.destination = destination;
     sight.out_since = told.seen.out_for() == 0 ? 0 : told.at - told.seen.out_for();
@@ -565,7 +566,7 @@
 }
 
 // For each destination one word: its owner's, or another's while its owner says nothing.
-void Node::hear(const pb::Seen& seen, bool by_owner) {
+void Node::hear(const pb::Seen& seen, const std::string& by, bool by_owner) {
   const auto known = told_.find(seen.destination());
   if (known == told_.end() && told_.size() >= kMostSights) return;
   if (!by_owner && known != told_.end() && known->second.seen.by_owner() &&
@@ -575,6 +576,7 @@
   Told& told = told_[seen.destination()];
   told = {seen, now_.steady_us};
   told.seen.set_by_owner(by_owner);
+  told.seen.set_by(by);
 }
 
 View Node::view() const {
--- a/register/node.h
+++ b/register/node.h
@@ -160,7 +160,7 @@
     pb::Seen seen;
     int64_t at = 0;
   };
-  void hear(const pb::Seen& seen, bool by_owner);
+  void hear(const pb::Seen& seen, const std::string& by, bool by_owner);
 
   void open();
   void break_off();
--- a/register/node_asks.cpp
+++ b/register/node_asks.cpp
@@ -214,6 +214,19 @@
   out << "version " << state.version().number();
   if (state.rolling().number() != 0) out << ", rolling out " << state.rolling().number();
   out << "\nlease " << (now.steady_us < lease_until_ ? "held" : "none") << "\n";
+  // What it acts for at this moment, for whoever watches that nobody else does.
+  out << "at " << now.steady_us << "\n";
+  const pb::Map& next = state.proposed().epoch() == 0 ? state.map() : state.proposed();
+  for (const pb::Range& range : state.map().range()) {
+    for (const pb::Range& after : next.range()) {
+      const shards::Key first = std::max(range.first(), after.first());
+      const shards::Key last = std::min(range.last(), after.last());
+      if (first <= last && standing(first, now.steady_us) == Standing::kOwner) {
+        out << "owns " << shards::hex(first) << " " << shards::hex(last) << "\n";
+      }
+    }
+  }
+  out << "runs " << version_ << "\n";
   if (diverged_) out << "diverged\n";
   for (const pb::Member& member : state.member()) {
     out << "member " << member.name() << (member.live() ? " live" : " lost")
--- a/relay/config.cpp
+++ b/relay/config.cpp
@@ -11,6 +11,9 @@
 
 using nlohmann::json;
 
+// What each relay of a fleet has for itself.
+const char* const kOwn[] = {"name", "listen", "seed", "known", "fleet"};
+
 std::string scalar(const json& value) { return value.is_string() ? value.get<std::string>() : value.dump(); }
 
 void flatten_into(const json& value, const std::string& path, std::string& out) {
@@ -71,9 +74,30 @@
   const json report = settings.value("telemetry", json::object());
   out.report_fields = report.value("fields", std::vector<std::string>{});
   out.known = parse_list(root.at("known"), out.names);
+  if (root.contains("fleet") && root["fleet"].is_string()) out.fleet = root["fleet"].get<std::string>();
+  out.text = text;
+  out.common = common_of(text);
   return out;
 }
 
+std::string common_of(const std::string& text) {
+  json common = json::parse(text);
+  for (const char* own : kOwn) common.erase(own);
+  return common.dump();
+}
+
+Config with_common(const Config& own, const std::string& common) {
+  json merged = json::parse(own.text);
+  if (common.empty()) return parse_config(own.text, own.state);
+  json mine = json::object();
+  for (const char* key : kOwn) {
+    if (merged.contains(key)) mine[key] = merged[key];
+  }
+  merged = json::parse(common);
+  merged.update(mine);
+  return parse_config(merged.dump(), own.state);
+}
+
 Config load_config() {
   const std::string path = needed("PROXY_CONFIG");
   const std::string state = needed("PROXY_STATE");
--- a/relay/config.h
+++ b/relay/config.h
@@ -24,6 +24,9 @@
   ListNames names;
   std::vector<std::string> report_fields;
   HostList known;
+  std::string fleet;   // file that tells of the other relays; empty: none
+  std::string text;    // the whole of it, as it was read
+  std::string common;  // what has to be alike at all relays of a fleet
 };
 
 // The settings as the path=value lines that parse_settings reads.
@@ -33,4 +36,10 @@
 Config parse_config(const std::string& text, const std::string& state);
 Config load_config();
 
+// What has to be alike at all relays of a fleet, of a whole configuration's JSON. Throws std::exception.
+std::string common_of(const std::string& text);
+
+// The own configuration with a fleet's common part in place of its own. Empty: the own one as it was read.
+Config with_common(const Config& own, const std::string& common);
+
 }  // namespace firspool::relay
--- /dev/null
+++ b/relay/fleet_side.cpp
@@ -0,0 +1,170 @@
+#include "fleet_side.h"
+
+#include <algorithm>
+#include <chrono>
+#include <cstdio>
+
+#include "message.h"
+
+namespace firspool::relay {
+namespace {
+
+using umberhoist::fleet::Scouts;
+using umberhoist::fleet::Sight;
+
+constexpr std::chrono::milliseconds kTick{100};
+constexpr Time kLately = 2'000'000;  // a call that was served so long ago tells that its destination is up
+
+Scouting::By by(Scouts scouts) {
+  return scouts == Scouts::kSelf    ? Scouting::By::kSelf
+         : scouts == Scouts::kOther ? Scouting::By::kOther
+                                    : Scouting::By::kAll;
+}
+
+}  // namespace
+
+FleetSide::FleetSide(boost::asio::io_context& io, std::unique_ptr<umberhoist::fleet::Fleet> fleet,
+                     const Settings& settings, uint64_t seed, Hooks hooks)
+    : settings_(settings), seed_(seed), fleet_(std::move(fleet)), hooks_(std::move(hooks)), timer_(io) {
+  tick();
+}
+
+void FleetSide::resume(const Arrival& in) { waiting_[in.id] = in; }
+
+void FleetSide::resumed(Time now) {
+  std::vector<umberhoist::recovery::Held> held;
+  for (const auto& [number, in] : waiting_) {
+    const ClassSettings& c = settings_.classes[in.message_class];
+    const bool late = now > in.due - c.give_up + c.target;
+    held.push_back({number, in.destination, late ? c.worth * c.late_worth : c.worth, in.due,
+                    in.ran && c.effect == Effect::kUnsafe});
+  }
+  const size_t count = held.size();
+  umberhoist::recovery::Limits limits;
+  // The fleet's relays come one after the other: each at a moment of its own within two more seconds.
+  limits.first += static_cast<Time>(seed_ % 2'000'000);
+  return_.emplace(limits, std::move(held), now);
+  if (count > 0) std::fprintf(stderr, "recovery: %zu messages held, waiting for the fleet's word\n", count);
+  hand_over(now);
+}
+
+void FleetSide::finished(uint64_t number) {
+  if (return_) return_->drop(number);
+  waiting_.erase(number);
+}
+
+void FleetSide::ended(int destination, Outcome outcome, Time now) {
+  const bool served = outcome == Outcome::kOk || outcome == Outcome::kSpoilt;
+  if (served) served_[destination] = now;
+  if (!return_) return;
+  served ? return_->served(destination, now) : return_->failed(destination, now);
+  hand_over(now);
+}
+
+void FleetSide::remember(const DestinationMemory& memory) {
+  if (memory.out_since == 0) {
+    outages_.erase(memory.destination);
+  } else {
+    outages_[memory.destination] = memory;
+  }
+}
+
+void FleetSide::tick() {
+  timer_.expires_after(kTick);
+  timer_.async_wait([this](const boost::system::error_code& error) {
+    if (error) return;
+    const Time now = steady_now();
+    follow_version();
+    tell_fleet(now);
+    tell_module();
+    hand_over(now);
+    tick();
+  });
+}
+
+// What the register holds is run, also by a relay that was away, whatever its own file says.
+void FleetSide::follow_version() {
+  const auto version = fleet_->version();
+  if (version.number == running_) return;
+  if (!hooks_.take_over(version.text)) {
+    if (text_ != version.text) {
+      std::fprintf(stderr, "version %llu cannot be run here\n",
+                   static_cast<unsigned long long>(version.number));
+    }
+    text_ = version.text;
+    return;
+  }
+  running_ = version.number;
+  text_ = version.text;
+  fleet_->runs(running_);
+  std::fprintf(stderr, "runs version %llu\n", static_cast<unsigned long long>(running_));
+}
+
+void FleetSide::tell_fleet(Time now) {
+  const std::vector<int> held = outages_.empty() ? std::vector<int>{} : hooks_.held();
+  std::erase_if(served_, [&](const auto& entry) { return now - entry.second > kLately; });
+  std::map<int, Sight> sights;
+  for (const auto& [destination, memory] : outages_) {
+    Sight& sight = sights[destination];
+    sight.out_since = memory.out_since;
+    sight.back_since = memory.back_since;
+    sight.base = memory.base;
+    sight.scouting = memory.back_since == 0 && std::find(held.begin(), held.end(), destination) != held.end();
+  }
+  for (const auto& [destination, at] : served_) sights[destination].served = true;
+  std::vector<Sight> out;
+  for (auto& [destination, sight] : sights) {
+    sight.destination = destination;
+    out.push_back(sight);
+  }
+  fleet_->sees(std::move(out));
+}
+
+void FleetSide::tell_module() {
+  for (const auto& [destination, memory] : outages_) {
+    const Scouting::By next = memory.back_since == 0 ? by(fleet_->scouts(destination)) : Scouting::By::kAll;
+    Scouting::By& last = scouting_[destination];
+    if (next != last) hooks_.happened(Scouting{destination, next});
+    last = next;
+  }
+  std::erase_if(scouting_, [&](const auto& entry) {
+    if (outages_.contains(entry.first)) return false;
+    if (entry.second != Scouting::By::kAll) hooks_.happened(Scouting{entry.first, Scouting::By::kAll});
+    return true;
+  });
+  for (const Sight& sight : fleet_->sights()) {
+    if (sight.served && return_) return_->told_served(sight.destination);
+    auto& last = told_[sight.destination];
+    // Times that were told by way of ages shake a little; what matters is an outage or a return that is new.
+    const bool news = (sight.out_since != 0 && std::abs(sight.out_since - last.first) > kLately) ||
+                      (sight.back_since != 0) != (last.second != 0);
+    if (!news) continue;
+    last = {sight.out_since, sight.back_since};
+    if (sight.out_since != 0) {
+      hooks_.happened(SeenElsewhere{sight.destination, sight.out_since, sight.back_since, sight.base});
+    }
+  }
+}
+
+void FleetSide::hand_over(Time now) {
+  if (!return_) return;
+  if (fleet_->heard()) return_->word(now);
+  for (const int destination : hooks_.destinations())
+    return_->may_try(destination, fleet_->owns(destination));
+  const auto stage = return_->stage();
+  for (const uint64_t number : return_->next(now)) {
+    const auto it = waiting_.find(number);
+    if (it == waiting_.end()) continue;
+    hooks_.happened(it->second);
+    waiting_.erase(it);
+  }
+  if (stage == return_->stage()) return;
+  std::fprintf(stderr, "recovery: %s, %zu messages held\n",
+               return_->stage() == umberhoist::recovery::Stage::kServing ? "over"
+               : return_->alone()                                        ? "alone, on even parts"
+                                                                         : "with the fleet's word",
+               return_->left());
+  if (return_->stage() == umberhoist::recovery::Stage::kServing) return_.reset();
+}
+
+}  // namespace firspool::relay
--- /dev/null
+++ b/relay/fleet_side.h
@@ -0,0 +1,65 @@
+// Where the daemon meets the fleet: whose scouts go where, what others saw, which configuration is run, and
+// how what the folder held comes back. A relay without a fleet has none of it.
+#pragma once
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <vector>
+
+#include "firspool/policy.h"
+#include "fleet/fleet.h"
+#include "recovery/return.h"
+
+namespace firspool::relay {
+
+class FleetSide {
+ public:
+  struct Hooks {
+    std::function<void(Event)> happened;
+    std::function<std::vector<int>()> destinations;     // all that are known
+    std::function<std::vector<int>()> held;             // destinations of what is held
+    std::function<bool(const std::string&)> take_over;  // a version's text; empty: the own file's
+  };
+
+  FleetSide(boost::asio::io_context& io, std::unique_ptr<umberhoist::fleet::Fleet> fleet,
+            const Settings& settings, uint64_t seed, Hooks hooks);
+
+  // A message from before the restart: handed to the module when its turn has come.
+  void resume(const Arrival& in);
+  void resumed(Time now);  // no more of them come
+  void ended(int destination, Outcome outcome, Time now);
+  void remember(const DestinationMemory& memory);
+  void finished(uint64_t number);
+  void propose(std::string text, std::function<void(bool, const std::string&)> told) {
+    fleet_->propose(std::move(text), std::move(told));
+  }
+  bool runs(const std::string& text) const { return running_ != 0 && text == text_; }
+  void leaving() { fleet_->leaving(); }
+
+ private:
+  void tick();
+  void follow_version();
+  void tell_module();
+  void tell_fleet(Time now);
+  void hand_over(Time now);
+
+  const Settings& settings_;
+  uint64_t seed_;
+  std::unique_ptr<umberhoist::fleet::Fleet> fleet_;
+  Hooks hooks_;
+  boost::asio::steady_timer timer_;
+  std::map<int, Scouting::By> scouting_;       // as the module was told
+  std::map<int, DestinationMemory> outages_;   // as the module told
+  std::map<int, Time> served_;                 // when a call was last served
+  std::map<int, std::pair<Time, Time>> told_;  // what others saw, as the module was told: out, back
+  std::map<uint64_t, Arrival> waiting_;
+  std::optional<umberhoist::recovery::Return> return_;
+  uint64_t running_ = 0;
+  std::string text_;
+};
+
+}  // namespace firspool::relay
--- a/relay/main.cpp
+++ b/relay/main.cpp
@@ -6,15 +6,24 @@
 #include <exception>
 
 #include "config.h"
+#include "fleet/fleet.h"
 #include "relay.h"
+#ifdef UMBERHOIST_FLEET
+#include "fleet/service.h"
+#endif
 
 namespace {
 
+#ifdef UMBERHOIST_FLEET
+constexpr size_t kFleetDescriptors = 12;  // its listener, event loop, log, peers, folder, and one file read
+constexpr size_t kLeastSockets = 64;      // as the configuration's own least
+#endif
+
 // A file that cannot be read whole or is not valid changes nothing.
 void reload(firspool::relay::Relay& relay) {
   try {
-    relay.reload(firspool::relay::load_config());
-    std::fprintf(stderr, "configuration read again\n");
+    relay.reload(firspool::relay::load_config(),
+                 [](const std::string& line) { std::fprintf(stderr, "%s\n", line.c_str()); });
   } catch (const std::exception& error) {
     std::fprintf(stderr, "configuration stays as it was: %s\n", error.what());
   }
@@ -28,6 +37,27 @@
   });
 }
 
+// Throws std::invalid_argument with one line where the fleet's file is wrong: nothing listens yet.
+std::unique_ptr<umberhoist::fleet::Fleet> join_fleet([[maybe_unused]] boost::asio::io_context& io,
+                                                     firspool::relay::Config& config) {
+  if (config.fleet.empty()) return nullptr;
+#ifdef UMBERHOIST_FLEET
+  const auto fleet = umberhoist::fleet::load_config(config.fleet);
+  // Its descriptors are the process's too.
+  const size_t own = fleet.connections + fleet.voters.size() + kFleetDescriptors;
+  if (config.sockets < own + kLeastSockets) {
+    throw std::invalid_argument(config.fleet + ":1: connections are too many for limits.sockets of " +
+                                std::to_string(config.sockets) + "; expected " +
+                                std::to_string(own + kLeastSockets) + " sockets or more");
+  }
+  config.sockets -= own;
+  return umberhoist::fleet::join(io, fleet, config.seed);
+#else
+  throw std::invalid_argument(config.fleet +
+                              ":1: this build knows no fleet; expected one made with UMBERHOIST_FLEET");
+#endif
+}
+
 }  // namespace
 
 int main() {
@@ -36,9 +66,20 @@
     std::signal(SIGXFSZ, SIG_IGN);  // a file that may not grow is a write that fails, like any other
     boost::asio::io_context io(1);
     boost::asio::signal_set signals(io, SIGTERM, SIGINT, SIGHUP);
-    firspool::relay::Relay relay(io, firspool::relay::load_config(), [](const auto& address) {
-      std::fprintf(stderr, "listening on %s:%u\n", address.address().to_string().c_str(), address.port());
-    });
+    firspool::relay::Config config = firspool::relay::load_config();
+    std::unique_ptr<umberhoist::fleet::Fleet> fleet;
+    try {
+      fleet = join_fleet(io, config);
+    } catch (const std::invalid_argument& error) {
+      std::fprintf(stderr, "%s\n", error.what());
+      return 2;
+    }
+    firspool::relay::Relay relay(
+        io, config,
+        [](const auto& address) {
+          std::fprintf(stderr, "listening on %s:%u\n", address.address().to_string().c_str(), address.port());
+        },
+        nullptr, std::move(fleet));
     await_signal(signals, relay);
     io.run();
     return 0;
--- a/relay/relay.cpp
+++ b/relay/relay.cpp
@@ -63,7 +63,7 @@
 
 Relay::Relay(boost::asio::io_context& io, const Config& config,
              std::function<void(const tcp::endpoint&)> listening,
-             std::unique_ptr<umberhoist::state::Files> files)
+             std::unique_ptr<umberhoist::state::Files> files, std::unique_ptr<umberhoist::fleet::Fleet> fleet)
     : io_(io),
       config_(config),
       files_(files ? std::move(files) : umberhoist::state::real_files(config.state)),
@@ -95,6 +95,20 @@
       listening_(std::move(listening)),
       open_timer_(io) {
   if (config.durability == umberhoist::state::Durability::kGroup) syncer_.emplace(1);
+  if (fleet) {
+    FleetSide::Hooks hooks;
+    hooks.happened = [this](Event event) { happened(std::move(event)); };
+    hooks.destinations = [this] {
+      return std::vector<int>(directory_.destinations().begin(), directory_.destinations().end());
+    };
+    hooks.held = [this] {
+      std::vector<int> out;
+      for (const auto& [number, held] : held_) out.push_back(held.handed.destination);
+      return out;
+    };
+    hooks.take_over = [this](const std::string& text) { return take_over_version(text); };
+    fleet_.emplace(io_, std::move(fleet), config_.settings, config_.seed, std::move(hooks));
+  }
   recall();
   told(config_.known);
   open_timer_.expires_after(std::chrono::microseconds(kFirstWord));
@@ -202,8 +216,9 @@
       in.ran_sent = now + (sent - wall);
       in.ran_zone = zone;
     }
-    happened(in);
+    fleet_ ? fleet_->resume(in) : happened(in);
   });
+  if (fleet_) fleet_->resumed(now);
 }
 
 // No room for it: the module has no say in that. Says when some is likely.
@@ -286,7 +301,27 @@
   forget_gone(endpoint);
 }
 
-void Relay::reload(const Config& config) {
+void Relay::reload(const Config& config, std::function<void(const std::string&)> told) {
+  if (!fleet_ || fleet_->runs(config.common)) {
+    take_over(config);
+    return told("configuration read again");
+  }
+  fleet_->propose(config.common, [told](bool done, const std::string& why) {
+    told(done ? "configuration proposed to the fleet" : "configuration stays as it was: " + why);
+  });
+}
+
+bool Relay::take_over_version(const std::string& text) {
+  try {
+    take_over(with_common(config_, text));
+    return true;
+  } catch (const std::exception& error) {
+    std::fprintf(stderr, "configuration of the fleet: %s\n", error.what());
+    return false;
+  }
+}
+
+void Relay::take_over(const Config& config) {
   config_.discovery = config.discovery;
   watch_.move(config.discovery);
   notices_.move(config.discovery);
@@ -328,6 +363,7 @@
     Time& until = waits_[lane_of(host->member)];
     until = std::max(until, steady_now() + end.wait);
   }
+  if (fleet_ && host != nullptr) fleet_->ended(host->member.destination, end.outcome, steady_now());
   if (held != held_.end()) {
     if (end.final) {
       finish(end.id, {});
@@ -486,6 +522,7 @@
     wake_ = timer->at;  // only the newest counts: it is set anew in each step that needs one
   } else if (const auto* memory = std::get_if<Remember>(&action)) {
     remember(memory->memory);
+    if (fleet_) fleet_->remember(memory->memory);
   } else if (const auto* log = std::get_if<Log>(&action)) {
     std::fprintf(stderr, "%s\n", log->text.c_str());
   }
@@ -494,6 +531,7 @@
 // The message is over; with a notice, that is still owed.
 void Relay::finish(uint64_t number, std::optional<Notice> notice) {
   const auto held = held_.find(number);
+  if (fleet_) fleet_->finished(number);
   if (notice) {
     unrecorded_.push_back(std::move(*notice));
     record_notices();
@@ -542,6 +580,7 @@
 void Relay::stop() {
   if (stopping_since_ != 0) return;
   stopping_since_ = steady_now();
+  if (fleet_) fleet_->leaving();
   happened(Closing{stopping_since_ + kLastCall});
   wait_for_end();
 }
--- a/relay/relay.h
+++ b/relay/relay.h
@@ -19,6 +19,7 @@
 #include "config.h"
 #include "directory.h"
 #include "discovery.h"
+#include "fleet_side.h"
 #include "state/journal.h"
 #include "upstream.h"
 
@@ -28,12 +29,15 @@
  public:
   // Reads the journal, hears discovery if it answers, then opens the listener and says so. Throws
   // std::exception where it cannot serve. `files`: in place of the folder that the configuration names.
+  // `fleet`: none, and the relay is by itself.
   Relay(boost::asio::io_context& io, const Config& config,
         std::function<void(const tcp::endpoint&)> listening,
-        std::unique_ptr<umberhoist::state::Files> files = nullptr);
+        std::unique_ptr<umberhoist::state::Files> files = nullptr,
+        std::unique_ptr<umberhoist::fleet::Fleet> fleet = nullptr);
 
-  // Takes the new configuration's discovery over; the rest of it holds from the next start on.
-  void reload(const Config& config);
+  // Takes the new configuration's discovery over; the rest of it holds from the next start on. In a fleet it
+  // is first proposed to all, who run it, or none does; `told` says what came of it.
+  void reload(const Config& config, std::function<void(const std::string& line)> told);
 
   // Planned end: serves a little longer, lets calls finish, and stops the event loop.
   void stop();
@@ -57,6 +61,8 @@
     Clients::Answer answer;
   };
 
+  void take_over(const Config& config);
+  bool take_over_version(const std::string& text);
   void recall();
   void open();
   void resume();
@@ -121,6 +127,7 @@
   std::function<void(const tcp::endpoint&)> listening_;
   boost::asio::steady_timer open_timer_;
   std::optional<Clients> clients_;  // once what was taken on before is resumed
+  std::optional<FleetSide> fleet_;
   std::optional<boost::asio::thread_pool>
       syncer_;  // with group durability; the last to come, the first to go
 };
--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -159,6 +159,28 @@
     watch(l);
   }
   void fold(const Closing& e) { closing_ = e.at; }
+  void fold(const Scouting& e) {
+    if (const auto it = lanes_.find({e.destination, Endpoint{}}); it != lanes_.end())
+      it->second.scouts_by = e.by;
+  }
+  // Another relay's scout was served after this outage began: it is over here too. And an outage is taken
+  // over by a relay that was served nothing since: it would have to find out at the destination's cost.
+  void fold(const SeenElsewhere& e) {
+    const auto it = lanes_.find({e.destination, Endpoint{}});
+    if (it == lanes_.end() || e.out_since == 0) return;
+    Lane& l = it->second;
+    if (l.out_since == 0 && l.served.at < e.out_since &&
+        (e.back_since == 0 || now_ - e.back_since < set_.cold)) {
+      watch(l);
+      go_out(l, "as another relay saw", false);
+      l.out_since = e.out_since;
+      l.base = std::max(l.base, e.base);
+    }
+    if (l.out_since == 0 || l.back_since != 0 || e.back_since <= l.out_since) return;
+    l.back_since = e.back_since;
+    l.suspected = false;
+    log(l, "back, cold, as another relay saw");
+  }
 
   void fold(const ProbeEnded& e) {
     const auto it = hosts_.find(e.endpoint);
@@ -544,6 +566,7 @@
 
   // Own part of the fleet's scouts. The relays that hold messages for the lane share them.
   double scout_rate(const Lane& l) const {
+    if (l.scouts_by == Scouting::By::kSelf) return kScoutLeast;  // what it finds is told to all
     return std::max(kScoutPart * l.base, kScoutLeast / set_.relays) / knowing(l);
   }
 
@@ -552,7 +575,7 @@
     if (l.wait_until > now_) return l.wait_until;
     if (l.out_since != 0) {
       // Without an answer to the last scout another tells little, and would fill the slots.
-      if (l.back_since == 0 && l.scouts > 0) return kNever;
+      if (l.back_since == 0 && (l.scouts > 0 || l.scouts_by == Scouting::By::kOther)) return kNever;
       const double rate = l.back_since == 0 ? scout_rate(l) : cold_rate(l);
       l.cold.refill(now_, rate, 1);
       if (l.cold.tokens < 1) return std::min(l.cold.ready(now_, rate), now_ + kSecond);
