--- a/tests/fleet/link.h
+++ b/tests/fleet/link.h
@@ -2,6 +2,8 @@
 // reorders its frames. One thread for all of them, which knows no more of a frame than its length.
 #pragma once
 
+#include <fcntl.h>
+
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/post.hpp>
@@ -56,6 +58,7 @@
       if (!link.acceptor) {
         link.acceptor =
             std::make_unique<tcp::acceptor>(io_, tcp::endpoint(boost::asio::ip::address_v4::loopback(), 0));
+        ::fcntl(link.acceptor->native_handle(), F_SETFD, FD_CLOEXEC);  // no relay is to inherit it
         accept(link, to);
       }
       return link.acceptor->local_endpoint().port();
