--- a/shards/validate.cpp
+++ b/shards/validate.cpp
@@ -124,12 +124,24 @@
         fault(range.line, "owner '" + range.owner + "' is of an earlier generation");
       } else if (!it->second->live) {
         fault(range.line, "owner '" + range.owner + "' is not live");
-      } else if (it->second->leaving) {
+      } else if (it->second->leaving && gains(range.owner)) {
         fault(range.line, "owner '" + range.owner + "' is leaving");
       }
     }
   }
 
+  // Whoever leaves may keep for another step what it has, but gets nothing.
+  bool gains(const std::string& owner) const {
+    if (against_.present == nullptr) return true;
+    for (const Range& range : map_.ranges) {
+      for (const Range& old : against_.present->ranges) {
+        const bool overlap = range.first <= old.last && old.first <= range.last;
+        if (range.owner == owner && old.owner != owner && overlap) return true;
+      }
+    }
+    return false;
+  }
+
   static bool can_own(const Member& m) { return m.live && !m.leaving && m.of_generation && m.weight > 0; }
 
   void weigh() {
--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -160,8 +160,10 @@
   }
   void fold(const Closing& e) { closing_ = e.at; }
   void fold(const Scouting& e) {
-    if (const auto it = lanes_.find({e.destination, Endpoint{}}); it != lanes_.end())
-      it->second.scouts_by = e.by;
+    const auto it = lanes_.find({e.destination, Endpoint{}});
+    if (it == lanes_.end()) return;
+    it->second.scouts_by = e.by;
+    it->second.shared = it->second.shared || e.by != Scouting::By::kAll;
   }
   // Another relay's scout was served after this outage began: it is over here too. And an outage is taken
   // over by a relay that was served nothing since: it would have to find out at the destination's cost.
@@ -435,6 +437,7 @@
     l.base = pooled_rate(l);
     l.out_since = now_;
     l.back_since = 0;
+    l.shared = false;
     l.suspected = suspected;
     l.doubted.clear();
     l.cold = {seconds(random_.between(0, kSecond)), now_};
@@ -552,6 +555,7 @@
 
   // Share of the relays that were handed a message for the lane in the outage, and so know of it.
   double knowing(const Lane& l) const {
+    if (l.shared) return 1;
     const Time end = l.back_since == 0 ? now_ : l.back_since;
     return std::max(1e-3, 1 - std::exp(-std::max(kHolders, seconds(end - l.out_since)) * l.base));
   }
--- a/src/policy_parts.h
+++ b/src/policy_parts.h
@@ -204,6 +204,7 @@
   Time back_since = 0;      // first served call after the outage; 0: still out
   double base = 0;          // own served rate before it
   Scouting::By scouts_by = Scouting::By::kAll;
+  bool shared = false;  // all relays know of the outage
   Pacer cold;
   int scouts = 0;                                            // out now
   Time last_served_sent = std::numeric_limits<Time>::min();  // when the youngest served call was sent
--- a/tests/fleet/fleet_test.cpp
+++ b/tests/fleet/fleet_test.cpp
@@ -365,6 +365,48 @@
   for (size_t i = 0; i < 3; ++i) EXPECT_TRUE(relays->wait_for(i, "recovery: over"));
 }
 
+// While a destination is out exactly one relay sends its scouts, its owner; its word ends the outage for all.
+TEST_F(Fleet, OneRelayScoutsForAllAndItsWordIsTheOthers) {
+  begin(3);
+  const shards::Map held = map(0);
+  const std::string owner = shards::find(held, shards::key_of(7))->owner;
+  // New messages all the time, as a repeat pays from a bucket that is empty soon.
+  std::atomic<bool> over = false;
+  std::thread clients([&] {
+    std::vector<firspool::testing::Socket> lines;
+    for (size_t i = 0; i < 3; ++i) lines.push_back(relays->client(i));
+    for (int m = 0; !over; ++m) {
+      for (size_t i = 0; i < 3; ++i) {
+        const std::string id = Relays::name(i) + "x" + std::to_string(m);
+        lines[i].send(firspool::testing::put_bytes(id, "c=safe,d=8000,k=5c0f6e1a2b3d4c59,dest=7"));
+        lines[i].line();
+      }
+      std::this_thread::sleep_for(std::chrono::milliseconds(200));  // a rate of traffic
+    }
+  });
+  const auto sender = [](const firspool::testing::Request& call) {
+    return call.headers.at("x-call-id").substr(0, 2);
+  };
+  // Every call is lost, until the last twelve in a row were the owner's alone.
+  int in_a_row = 0;
+  for (int calls = 0; in_a_row < 12 && calls < 400; ++calls) {
+    in_a_row = sender(host.next()) == owner ? in_a_row + 1 : 0;
+    host.reset();
+  }
+  EXPECT_EQ(in_a_row, 12);
+  // Then it is up: the others send as soon as they have the owner's word.
+  for (std::set<std::string> seen; seen.size() < 3;) {
+    seen.insert(sender(host.next()));
+    host.answer("200", "Connection: close\r\n");
+    host.drop();
+  }
+  over = true;
+  clients.join();
+  for (size_t i = 0; i < 3; ++i) {
+    EXPECT_TRUE(Relays::name(i) == owner || relays->wait_for(i, "as another relay saw"));
+  }
+}
+
 // ---- What the platform must not notice ----
 
 std::string listeners(pid_t pid) {
--- /dev/null
+++ b/tests/freeze/calendar_test.cpp
@@ -0,0 +1,213 @@
+// Windows against a model that looks at every second.
+#include "freeze/calendar.h"
+
+#include <gtest/gtest.h>
+
+#include <algorithm>
+#include <random>
+
+namespace umberhoist::freeze {
+namespace {
+
+constexpr Instant kSecond = 1'000'000;
+
+Calendar parsed(const std::string& toml) {
+  const auto out = parse_calendar(toml);
+  if (const auto* defects = std::get_if<std::vector<Defect>>(&out)) {
+    for (const auto& d : *defects) ADD_FAILURE() << d.line << ": " << d.what;
+    return {};
+  }
+  return std::get<Calendar>(out);
+}
+
+std::vector<Defect> defects(const std::string& toml) {
+  const auto out = parse_calendar(toml);
+  return std::holds_alternative<std::vector<Defect>>(out) ? std::get<std::vector<Defect>>(out)
+                                                          : std::vector<Defect>{};
+}
+
+const char* const kSongkran = R"(
+approvers = ["ann", "bo"]
+[[window]]
+id = "songkran-2027"
+name = "Songkran"
+start = 2027-04-12T00:00:00+07:00
+end = 2027-04-16T00:00:00+07:00
+changes = ["reload", "map"]
+destinations = [3, 7]
+declared_by = "trading"
+notice_h = 24
+)";
+
+TEST(Calendar, StartIsInsideAndEndIsNot) {
+  const Calendar calendar = parsed(kSongkran);
+  const Instant start = *parse_instant("2027-04-12T00:00:00+07:00");
+  const Instant end = *parse_instant("2027-04-15T17:00:00Z");
+  const Change change{Kind::kMap, {3}};
+  EXPECT_FALSE(judge(calendar, change, {start - 1, start - 1}).closed);
+  EXPECT_TRUE(judge(calendar, change, {start, start}).closed);
+  EXPECT_TRUE(judge(calendar, change, {end - 1, end - 1}).closed);
+  EXPECT_FALSE(judge(calendar, change, {end, end}).closed);
+  EXPECT_FALSE(judge(calendar, {Kind::kSettings, {3}}, {start, start}).closed);  // another kind
+  EXPECT_FALSE(judge(calendar, {Kind::kMap, {4}}, {start, start}).closed);       // another destination
+  EXPECT_TRUE(judge(calendar, {Kind::kMap, {}}, {start, start}).closed);         // any destination
+}
+
+TEST(Calendar, WhereABoundTouchesAWindowChangesAreClosed) {
+  const Calendar calendar = parsed(kSongkran);
+  const Instant start = calendar.windows[0].start, end = calendar.windows[0].end;
+  EXPECT_TRUE(judge(calendar, {Kind::kMap, {}}, {start - 600 * kSecond, start}).closed);
+  EXPECT_TRUE(judge(calendar, {Kind::kMap, {}}, {end - 1, end + 600 * kSecond}).closed);
+  EXPECT_TRUE(judge(calendar, {Kind::kMap, {}}, {start - 1, end + 1}).closed);
+  EXPECT_FALSE(judge(calendar, {Kind::kMap, {}}, {end, end + 600 * kSecond}).closed);
+}
+
+TEST(Calendar, BackToBackAndOverlappingWindowsAreClosedUntilTheLastEnd) {
+  const Calendar calendar = parsed(R"(
+[[window]]
+id = "a"
+start = 2027-01-01T00:00:00Z
+end = 2027-01-01T01:00:00Z
+declared_by = "t"
+[[window]]
+id = "b"
+start = 2027-01-01T01:00:00Z
+end = 2027-01-01T02:00:00Z
+declared_by = "t"
+[[window]]
+id = "c"
+start = 2027-01-01T01:30:00Z
+end = 2027-01-01T03:00:00Z
+declared_by = "t"
+)");
+  const Instant at = *parse_instant("2027-01-01T00:30:00Z");
+  const auto verdict = judge(calendar, {Kind::kLimits, {}}, {at, at});
+  EXPECT_EQ(verdict.window, "a");
+  EXPECT_EQ(text(verdict.end), "2027-01-01T03:00:00Z");
+}
+
+TEST(Calendar, OneThatEndsInTheSecondInWhichItStarts) {
+  const Calendar calendar = parsed(
+      "[[window]]\nid = \"a\"\nstart = 2027-01-01T00:00:00.2Z\nend = 2027-01-01T00:00:00.7Z\ndeclared_by = "
+      "\"t\"\n");
+  const Instant at = *parse_instant("2027-01-01T00:00:00.5Z");
+  EXPECT_TRUE(judge(calendar, {Kind::kMap, {}}, {at, at}).closed);
+  EXPECT_EQ(defects("[[window]]\nid = \"a\"\nstart = 2027-01-01T00:00:00Z\nend = 2027-01-01T00:00:00Z\n"
+                    "declared_by = \"t\"\n")
+                .size(),
+            1U);
+}
+
+TEST(Calendar, EachWrongLineIsTold) {
+  const auto wrong = defects(R"(approvers = ["ann", "ann"]
+[[window]]
+id = "a"
+start = 2027-01-01T00:00:00
+end = "tomorrow"
+changes = ["weather"]
+destinations = []
+notice_h = -1
+colour = 3
+)");
+  std::vector<int> lines;
+  for (const auto& d : wrong) lines.push_back(d.line);
+  EXPECT_EQ(lines, (std::vector<int>{1, 2, 4, 5, 6, 7, 8, 9}));
+}
+
+TEST(Calendar, InForceOrWithinItsNoticeAWindowMayOnlyBeExtended) {
+  const Calendar present = parsed(kSongkran);
+  const Instant start = present.windows[0].start;
+  const Bounds before{start - 25 * 3600 * kSecond, start - 25 * 3600 * kSecond};
+  const Bounds noticed{start - 23 * 3600 * kSecond, start - 23 * 3600 * kSecond};
+  Calendar next = present;
+  next.windows.clear();
+  EXPECT_TRUE(check_edit(present, next, before).empty());
+  EXPECT_EQ(check_edit(present, next, noticed).size(), 1U);
+  next = present;
+  next.windows[0].end += kSecond;
+  next.windows[0].destinations.clear();  // all of them: more than before
+  EXPECT_TRUE(check_edit(present, next, noticed).empty());
+  next = present;
+  next.windows[0].end -= 1;
+  EXPECT_EQ(check_edit(present, next, noticed).size(), 1U);
+  next = present;
+  next.windows[0].changes.erase(Kind::kMap);
+  EXPECT_EQ(check_edit(present, next, noticed).size(), 1U);
+  next = present;
+  next.windows.push_back({"z", "", start, start + kSecond, {}, {}, "t", 0, 0});  // declared at any time
+  EXPECT_TRUE(check_edit(present, next, {start, start}).empty());
+  next = present;
+  next.approvers.insert("mallory");  // who would then approve of everything
+  EXPECT_EQ(check_edit(present, next, {start, start}).size(), 1U);
+}
+
+TEST(Calendar, AgreesWithAModelThatLooksAtEverySecond) {
+  std::mt19937 random(3);
+  constexpr int kSpan = 120;
+  for (int round = 0; round < 3000; ++round) {
+    Calendar calendar;
+    std::vector<std::vector<std::set<int64_t>>> closed(std::size(kKinds),
+                                                       std::vector<std::set<int64_t>>(kSpan));
+    for (size_t w = random() % 5; w > 0; --w) {
+      Window window;
+      window.id = "w" + std::to_string(w);
+      const int from = static_cast<int>(random() % kSpan), to = from + 1 + static_cast<int>(random() % 30);
+      window.start = from * kSecond;
+      window.end = to * kSecond;
+      for (const Kind kind : kKinds) {
+        if (random() % 3 == 0) window.changes.insert(kind);
+      }
+      for (int64_t d = 1; d <= 3; ++d) {
+        if (random() % 3 == 0) window.destinations.insert(d);
+      }
+      for (size_t k = 0; k < std::size(kKinds); ++k) {
+        if (!window.changes.empty() && !window.changes.contains(kKinds[k])) continue;
+        for (int s = from; s < std::min(to, kSpan); ++s) {
+          for (int64_t d = 1; d <= 3; ++d) {
+            if (window.destinations.empty() || window.destinations.contains(d))
+              closed[k][static_cast<size_t>(s)].insert(d);
+          }
+        }
+      }
+      calendar.windows.push_back(window);
+    }
+    for (int question = 0; question < 30; ++question) {
+      const size_t k = random() % std::size(kKinds);
+      const int from = static_cast<int>(random() % kSpan);
+      const int to = std::min(kSpan - 1, from + static_cast<int>(random() % 8));
+      Change change{kKinds[k], {}};
+      if (random() % 2 == 0) change.destinations.insert(1 + static_cast<int64_t>(random() % 3));
+      bool expected = false;
+      for (int s = from; s <= to; ++s) {
+        const auto& now = closed[k][static_cast<size_t>(s)];
+        expected = expected ||
+                   (change.destinations.empty() ? !now.empty() : now.contains(*change.destinations.begin()));
+      }
+      // The middle of the seconds: windows begin and end at whole ones.
+      const auto verdict =
+          judge(calendar, change, {from * kSecond + kSecond / 2, to * kSecond + kSecond / 2});
+      ASSERT_EQ(verdict.closed, expected) << "round " << round;
+      if (!expected || from != to) continue;
+      // And when it says that changes are open again, they are: not one second sooner.
+      for (int s = from; s * kSecond < verdict.end && s < kSpan; ++s) {
+        const auto& now = closed[k][static_cast<size_t>(s)];
+        EXPECT_TRUE(change.destinations.empty() ? !now.empty() : now.contains(*change.destinations.begin()));
+      }
+      EXPECT_FALSE(judge(calendar, change, {verdict.end, verdict.end}).closed);
+    }
+  }
+}
+
+TEST(Calendar, NextStartAndTimes) {
+  const Calendar calendar = parsed(kSongkran);
+  EXPECT_EQ(next_start(calendar, {Kind::kReload, {}}, 0), calendar.windows[0].start);
+  EXPECT_EQ(next_start(calendar, {Kind::kReload, {}}, calendar.windows[0].start), std::nullopt);
+  EXPECT_EQ(next_start(calendar, {Kind::kSettings, {}}, 0), std::nullopt);
+  for (const char* bad : {"", "2027-04-12", "2027-04-12T00:00:00", "2027-04-12T00:00:00Z\nx = 1", "1 # 2",
+                          "2027-13-12T00:00:00Z"}) {
+    EXPECT_EQ(parse_instant(bad), std::nullopt) << bad;
+  }
+}
+
+}  // namespace
+}  // namespace umberhoist::freeze
--- a/tests/register/node_test.cpp
+++ b/tests/register/node_test.cpp
@@ -326,6 +326,17 @@
   }
 }
 
+TEST(Register, ALeaseEndsWhereTheWallClockJumpsBack) {
+  Fleet fleet(4, 3, 33);
+  fleet.begin();
+  fleet.cut_off(3);
+  fleet.relays[3].wall_offset = -600 * kSec;
+  ASSERT_TRUE(fleet.until(30 * kSec, [&] { return fleet.node(0).machine().state().map().epoch() == 2; }));
+  fleet.run(5 * kSec);  // the oracle looks at each step whether a key has two owners
+  fleet.heal();
+  EXPECT_TRUE(fleet.settled()) << fleet.state();
+}
+
 // ---- Maps ----
 
 TEST(Register, TwoOperatorsProposeDifferentMapsForOneEpoch) {
@@ -458,6 +469,26 @@
   EXPECT_FALSE(fleet.propose_map(0, again).first);
 }
 
+TEST(Freeze, AnExceptionForOneConfigurationIsUsedOnce) {
+  Fleet fleet(3, 3, 48);
+  fleet.begin();
+  ASSERT_TRUE(fleet.declare(0, window(fleet, "w", -5, 600)).first);
+  const auto approve = [&](const std::string& text) {
+    for (const char* name : {"ann", "bo"}) ASSERT_TRUE(fleet.except(0, digest_of(text), name, 60).first);
+  };
+  const auto reached = [&](uint64_t number) {
+    return fleet.until(20 * kSec,
+                       [&] { return fleet.node(0).machine().state().version().number() == number; });
+  };
+  approve("one");
+  approve("two");
+  ASSERT_TRUE(fleet.propose_version(0, "one").first);
+  ASSERT_TRUE(reached(1));
+  ASSERT_TRUE(fleet.propose_version(0, "two").first);
+  ASSERT_TRUE(reached(2));
+  EXPECT_FALSE(fleet.propose_version(0, "one").first);  // back again takes two names again
+}
+
 TEST(Freeze, ARollOutThatDoesNotReachAllBeforeAWindowIsTakenBackEverywhere) {
   Fleet fleet(5, 3, 43);
   fleet.begin();
--- /dev/null
+++ b/tests/register/storage_test.cpp
@@ -0,0 +1,213 @@
+// The register's folder at every write boundary: nothing promised is forgotten, no vote is given twice.
+#include "register/storage.h"
+
+#include <gtest/gtest.h>
+
+#include <functional>
+
+#include "tests/state/memory_files.h"
+
+namespace umberhoist::reg {
+namespace {
+
+using state::MemoryFiles;
+
+struct Promised {  // what returned true
+  uint64_t term = 0, vote = 0, promises = 0;
+  std::vector<StoredEntry> entries;
+  uint64_t snapshot = 0;
+};
+
+StoredEntry entry(uint64_t index, uint64_t term, const std::string& data) { return {index, term, 1, data}; }
+
+// A voter's life: each step tells whether it was promised. Stops at the first that was not.
+struct Life {
+  std::vector<std::function<bool(Storage&, Promised&)>> steps;
+
+  Life() {
+    const auto term = [](uint64_t t) {
+      return [t](Storage& s, Promised& p) {
+        if (!s.set_term(t)) return false;
+        p.term = t;
+        p.vote = 0;
+        return true;
+      };
+    };
+    const auto vote = [](uint64_t who) {
+      return [who](Storage& s, Promised& p) {
+        if (!s.set_vote(who)) return false;
+        p.vote = who;
+        return true;
+      };
+    };
+    const auto append = [](uint64_t from, uint64_t t, size_t count) {
+      return [=](Storage& s, Promised& p) {
+        std::vector<StoredEntry> all;
+        for (uint64_t i = from; i < from + count; ++i) all.push_back(entry(i, t, std::string(i * 40, 'x')));
+        if (!s.append(all)) return false;
+        p.entries.insert(p.entries.end(), all.begin(), all.end());
+        return true;
+      };
+    };
+    const auto truncate = [](uint64_t from) {
+      return [=](Storage& s, Promised& p) {
+        if (!s.truncate(from)) return false;
+        while (!p.entries.empty() && p.entries.back().index >= from) p.entries.pop_back();
+        return true;
+      };
+    };
+    const auto snapshot = [](uint64_t index, uint64_t trailing) {
+      return [=](Storage& s, Promised& p) {
+        if (!s.put_snapshot({index, 1, "c", 1, std::string(700, 's')}, trailing)) return false;
+        p.snapshot = index;
+        while (!p.entries.empty() && (trailing == 0 || p.entries.front().index + trailing <= index))
+          p.entries.erase(p.entries.begin());
+        return true;
+      };
+    };
+    steps = {[](Storage& s, Promised&) { return s.begin(1, Storage::make_identity(2, 1)); },
+             term(1),
+             append(1, 1, 1),
+             vote(Storage::make_identity(3, 1)),
+             append(2, 1, 3),
+             term(2),
+             vote(Storage::make_identity(1, 1)),
+             truncate(4),
+             append(4, 2, 2),
+             snapshot(4, 2),
+             append(6, 2, 1),
+             term(3),
+             vote(Storage::make_identity(2, 1)),
+             append(7, 3, 4),
+             snapshot(9, 0),
+             append(10, 3, 2)};
+  }
+};
+
+// As the next process finds it. `doubt`: a step that failed or was cut short may have been done or not.
+void check(MemoryFiles& files, const Promised& before, const Promised& after, size_t step,
+           const std::string& where) {
+  Storage found(files, "n2");
+  if (step == 0 && found.found() != Storage::Found::kWhole) return;  // nothing had been promised yet
+  ASSERT_EQ(found.found(), Storage::Found::kWhole) << where << ": " << found.finding();
+  const auto same = [&](const Promised& p) {
+    return found.term() == p.term && found.voted_for() == p.vote &&
+           (found.snapshot() ? found.snapshot()->index : 0) == p.snapshot &&
+           std::vector<StoredEntry>(found.entries().begin(), found.entries().end()) == p.entries;
+  };
+  EXPECT_TRUE(same(before) || same(after))
+      << where << ": term " << found.term() << ", vote " << found.voted_for() << ", "
+      << found.entries().size() << " entries";
+  EXPECT_GE(found.promises(), before.promises) << where;
+}
+
+TEST(Storage, AtEveryFailedWriteNothingPromisedIsForgotten) {
+  const Life life;
+  MemoryFiles whole;
+  {
+    Storage storage(whole, "n2");
+    Promised promised;
+    for (const auto& step : life.steps) ASSERT_TRUE(step(storage, promised));
+  }
+  const auto changes = static_cast<int64_t>(whole.changes.size());
+  ASSERT_GT(changes, 60);
+  for (int64_t fail = 0; fail < changes; ++fail) {
+    for (const int how : {0, 1, 2}) {
+      MemoryFiles files;
+      files.fail_from = fail;
+      files.fail_partly = how == 1;
+      files.fail_wholly = how == 2;
+      Storage storage(files, "n2");
+      Promised promised;
+      for (size_t i = 0; i < life.steps.size(); ++i) {
+        Promised next = promised;
+        if (life.steps[i](storage, next)) {
+          next.promises = storage.promises();
+          promised = next;
+          continue;
+        }
+        // What it would have been, had it worked: told by the same step on a folder that works.
+        MemoryFiles ideal;
+        Storage other(ideal, "n2");
+        Promised done;
+        for (size_t j = 0; j <= i; ++j) life.steps[j](other, done);
+        EXPECT_TRUE(storage.failed());
+        MemoryFiles found(files.contents());
+        check(found, promised, done, i,
+              "write " + std::to_string(fail) + " fails in way " + std::to_string(how));
+        std::mt19937_64 random(static_cast<uint64_t>(fail));
+        for (int loss = 0; loss < 4; ++loss) {
+          MemoryFiles lost(files.after_power_loss(random));
+          check(lost, promised, done, i, "power lost after write " + std::to_string(fail) + " failed");
+        }
+        break;
+      }
+    }
+  }
+}
+
+TEST(Storage, AtEveryStepAPowerLossLeavesWhatWasPromised) {
+  const Life life;
+  for (uint64_t seed = 1; seed <= 40; ++seed) {
+    std::mt19937_64 random(seed);
+    MemoryFiles files;
+    Storage storage(files, "n2");
+    Promised promised;
+    for (size_t i = 0; i < life.steps.size(); ++i) {
+      ASSERT_TRUE(life.steps[i](storage, promised));
+      promised.promises = storage.promises();
+      MemoryFiles lost(files.after_power_loss(random));
+      check(lost, promised, promised, i + 1, "seed " + std::to_string(seed) + ", step " + std::to_string(i));
+    }
+  }
+}
+
+TEST(Storage, AnyByteFlippedIsFoundOrIsOfNoWeight) {
+  const Life life;
+  MemoryFiles files;
+  Promised promised;
+  {
+    Storage storage(files, "n2");
+    for (const auto& step : life.steps) ASSERT_TRUE(step(storage, promised));
+  }
+  const auto contents = files.contents();
+  for (const auto& [name, bytes] : contents) {
+    for (size_t at = 0; at < bytes.size(); ++at) {
+      auto changed = contents;
+      changed[name][at] ^= 4;
+      MemoryFiles flipped(changed);
+      Storage found(flipped, "n2");
+      if (found.found() == Storage::Found::kDamaged) continue;
+      EXPECT_EQ(found.term(), promised.term) << name << " at " << at;
+      EXPECT_EQ(found.voted_for(), promised.vote);
+      EXPECT_EQ(std::vector<StoredEntry>(found.entries().begin(), found.entries().end()), promised.entries);
+    }
+  }
+}
+
+TEST(Storage, AnotherRelaysFolderAndAnEmptyOneAreToldApart) {
+  MemoryFiles files;
+  EXPECT_EQ(Storage(files, "n2").found(), Storage::Found::kNothing);
+  {
+    Storage storage(files, "n2");
+    ASSERT_TRUE(storage.begin(1, Storage::make_identity(2, 1)));
+  }
+  EXPECT_EQ(Storage(files, "n2").found(), Storage::Found::kWhole);
+  EXPECT_EQ(Storage(files, "n3").found(), Storage::Found::kOthers);
+}
+
+TEST(Storage, WhatOthersPromisedIsRememberedOverManyStarts) {
+  MemoryFiles files;
+  for (uint64_t n = 1; n <= 50; ++n) {
+    Storage storage(files, "n2");
+    EXPECT_EQ(storage.remembered(Storage::make_identity(1, 1)), n - 1);
+    ASSERT_TRUE(storage.remember(Storage::make_identity(1, 1), n));
+    ASSERT_TRUE(storage.remember(Storage::make_identity(3, 1 + static_cast<uint32_t>(n)), 7));
+  }
+  Storage storage(files, "n2");
+  EXPECT_EQ(storage.newest_identity(3), Storage::make_identity(3, 51));
+  EXPECT_EQ(storage.newest_identity(2), 0U);
+}
+
+}  // namespace
+}  // namespace umberhoist::reg
