--- a/register/machine.cpp
+++ b/register/machine.cpp
@@ -338,7 +338,6 @@
     if (state_.rolling().digest() == command.digest()) return kDone;
     return no("version " + std::to_string(state_.rolling().number()) + " is on its way; wait for its end");
   }
-  if (state_.version().number() != 0 && state_.version().digest() == command.digest()) return kDone;
   const freeze::Change change{freeze::Kind::kReload, {}};
   const auto verdict = freeze::judge(calendar_, change, now);
   bool exception = false;
@@ -346,6 +345,7 @@
     exception = excepted(command.digest(), now);
     if (!exception) return no(verdict.why);
   }
+  if (state_.version().number() != 0 && state_.version().digest() == command.digest()) return kDone;
   int64_t by = now.latest + rules_.rollout_us;
   // Windows whose start lies within the bounds are in force by the verdict above.
   if (const auto start = freeze::next_start(calendar_, change, now.latest)) {
--- a/rehearsal/relay_config.cpp
+++ b/rehearsal/relay_config.cpp
@@ -81,4 +81,20 @@
           {"settings", settings}};
 }
 
+std::string fleet_file(const Scenario& s, int relay, const std::vector<std::string>& addresses,
+                       const std::string& folder) {
+  const auto index = static_cast<size_t>(relay);
+  std::string out = "name = \"n" + std::to_string(relay) + "\"\nid = " + std::to_string(relay + 1) +
+                    "\nlisten = \"" + addresses[index] + "\"\nfolder = \"" + folder + "\"\nzone = \"" +
+                    zone_name(relay % s.zones) + "\"\n";
+  for (size_t i = 0; i < (addresses.size() >= 9 ? 5U : 3U); ++i) {
+    out += "[[voter]]\nname = \"n" + std::to_string(i) + "\"\nid = " + std::to_string(i + 1) +
+           "\naddress = \"" + addresses[i] + "\"\n";
+  }
+  // A rehearsal is short: times in a third of what an installation would have.
+  return out +
+         "[timing]\nbeat_ms = 100\nlease_ms = 700\ndead_ms = 1000\nelection_ms = 400\nheartbeat_ms = 80\n"
+         "settle_ms = 800\n";
+}
+
 }  // namespace umberhoist::rehearsal
--- a/rehearsal/relay_config.h
+++ b/rehearsal/relay_config.h
@@ -3,6 +3,7 @@
 
 #include <nlohmann/json.hpp>
 #include <string>
+#include <vector>
 
 #include "rehearsal/plan.h"
 
@@ -13,6 +14,10 @@
                             const std::string& listen, const std::string& discovery,
                             const std::string& known);
 
+// fleet.toml of a relay. `addresses`: of all relays, in their order; `folder`: its register's.
+std::string fleet_file(const Scenario& scenario, int relay, const std::vector<std::string>& addresses,
+                       const std::string& folder);
+
 std::string zone_name(int zone);
 
 }  // namespace umberhoist::rehearsal
--- a/rehearsal/report.cpp
+++ b/rehearsal/report.cpp
@@ -354,6 +354,12 @@
               {"worth", worth_share(s, o)},
               {"breaches", o.breach_count}};
   const double messages = std::max<double>(1, static_cast<double>(o.messages));
+  for (const Second& in : o.by_second) {
+    double worth = 0;
+    for (size_t c = 0; c < in.delivered.size(); ++c) worth += s.classes[c].worth * in.delivered[c];
+    out["worth_each_second"].push_back(worth);
+    out["attempts_each_second"].push_back(in.attempts);
+  }
   out["cpu_us_a_message"] = {{"relays", static_cast<double>(relay_cpu(o)) / messages},
                              {"kit", static_cast<double>(o.lateness.kit_cpu) / messages}};
   out["kit"] = {{"send_lateness_ms",
--- a/rehearsal/run.cpp
+++ b/rehearsal/run.cpp
@@ -11,6 +11,8 @@
 #include <boost/asio/steady_timer.hpp>
 #include <cmath>
 #include <cstdio>
+#include <filesystem>
+#include <fstream>
 #include <map>
 #include <memory>
 #include <set>
@@ -121,6 +123,7 @@
     boost::asio::ip::tcp::endpoint address;
     std::optional<boost::asio::ip::tcp::acceptor>
         door;  // bound and never listening: keeps the port for the relay
+    std::optional<boost::asio::ip::tcp::acceptor> fleet_door;  // and that of its fleet address
     enum class State { kStarting, kUp, kStopping, kDown } state = State::kDown;
     Time state_since = 0;
     bool lost = false;
@@ -211,6 +214,7 @@
       relay.agent = std::make_unique<standins::Agent>(io_, static_cast<int>(i), witnesses_);
       relay.door.emplace(standins::bound_acceptor(io_));
       relay.address = relay.door->local_endpoint();
+      if (scenario_.fleet) relay.fleet_door.emplace(standins::bound_acceptor(io_));
       addresses.push_back(relay.address);
     }
     front_ = std::make_unique<standins::Front>(
@@ -276,11 +280,12 @@
     Relay& r = relay(i);
     const std::string listen = "127.0.0.1:" + std::to_string(r.address.port());
     if (r.first_known.empty() || !scenario_.known_at_first) r.first_known = r.agent->whole_list();
-    r.process->configure(
+    nlohmann::json config =
         relay_config(scenario_, plan_, i,
                      options_.seed * 1000 + static_cast<uint64_t>(i) * 31 + static_cast<uint64_t>(++r.starts),
-                     listen, r.agent->address(), r.first_known)
-            .dump());
+                     listen, r.agent->address(), r.first_known);
+    if (scenario_.fleet) config["fleet"] = write_fleet_file(i);
+    r.process->configure(config.dump());
     r.process->start();
     r.meter.emplace(r.process->pid(), r.process->state(), r.process->temporary());
     r.judge->started(steady_now());
@@ -294,6 +299,17 @@
     ping(i);
   }
 
+  std::string write_fleet_file(int i) {
+    std::vector<std::string> addresses;
+    for (const Relay& r : relays_) {
+      addresses.push_back("127.0.0.1:" + std::to_string(r.fleet_door->local_endpoint().port()));
+    }
+    const auto folder = std::filesystem::absolute(relay(i).process->state().parent_path());
+    std::ofstream(folder / "fleet.toml")
+        << fleet_file(scenario_, i, addresses, (folder / "register").string());
+    return (folder / "fleet.toml").string();
+  }
+
   void ping(int i) {
     front_->ping(i, [this, i, starts = relay(i).starts](bool good) {
       Relay& r = relay(i);
--- a/rehearsal/scenario.cpp
+++ b/rehearsal/scenario.cpp
@@ -387,6 +387,11 @@
     relays.integer("max_attempts", out.max_attempts, 1, 100);
     relays.flag("probes", out.probes);
     relays.one_of("durability", kDurability, out.group_durability);
+    relays.flag("fleet", out.fleet);
+    if (out.fleet && out.relays < 3) {
+      throw ScenarioError(file + ": relays.count is " + std::to_string(out.relays) +
+                          "; expected at least 3 for a fleet");
+    }
     relays.end();
   }
   if (const auto* table = in.table("partners")) {
--- a/rehearsal/scenario.h
+++ b/rehearsal/scenario.h
@@ -144,6 +144,7 @@
   int relays = 2;
   int sockets = 1024;
   bool group_durability = false;
+  bool fleet = false;  // the relays agree among themselves; the first three, or five of nine and more, vote
   int memory_mb = 192;
   double disk_mb = 3;
   double cores = 0;         // of a core that it gets; 0: as much as there is
--- a/relay/config.cpp
+++ b/relay/config.cpp
@@ -12,7 +12,7 @@
 using nlohmann::json;
 
 // What each relay of a fleet has for itself.
-const char* const kOwn[] = {"name", "listen", "seed", "known", "fleet"};
+const char* const kOwn[] = {"name", "listen", "discovery", "seed", "known", "fleet"};
 
 std::string scalar(const json& value) { return value.is_string() ? value.get<std::string>() : value.dump(); }
 
--- a/relay/fleet_side.h
+++ b/relay/fleet_side.h
@@ -37,7 +37,6 @@
   void propose(std::string text, std::function<void(bool, const std::string&)> told) {
     fleet_->propose(std::move(text), std::move(told));
   }
-  bool runs(const std::string& text) const { return running_ != 0 && text == text_; }
   void leaving() { fleet_->leaving(); }
 
  private:
--- a/relay/relay.cpp
+++ b/relay/relay.cpp
@@ -302,12 +302,15 @@
 }
 
 void Relay::reload(const Config& config, std::function<void(const std::string&)> told) {
-  if (!fleet_ || fleet_->runs(config.common)) {
+  if (!fleet_) {
     take_over(config);
     return told("configuration read again");
   }
-  fleet_->propose(config.common, [told](bool done, const std::string& why) {
-    told(done ? "configuration proposed to the fleet" : "configuration stays as it was: " + why);
+  // What is this relay's own is taken over with the fleet's word on what is not: inside a window there is
+  // none.
+  fleet_->propose(config.common, [this, config, told](bool done, const std::string& why) {
+    if (done) take_over(config);
+    told(done ? "configuration read again, and known to the fleet" : "configuration stays as it was: " + why);
   });
 }
 
