A start runs the register's version; a change is told once the asked relay shows it

Cause: a relay said that it runs a version whose settings its next start, on its own file, would not have run; and an operator's list right after a declaration did not show it, as the asked relay had not applied it yet (seen when scripts/try-fleet was tried as a new user would). The version's text is kept, synced, before the relay says that it runs it, and a start runs what is kept. A test of three processes: a restarted relay turns away the third message by the version's limit, though its own file has room for twenty.

--- a/fleet/service.cpp
+++ b/fleet/service.cpp
@@ -1,12 +1,16 @@
 #include "fleet/service.h"
 
+#include <fcntl.h>
 #include <time.h>
+#include <unistd.h>
 
 #include <atomic>
 #include <boost/asio/post.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <chrono>
 #include <cstdio>
+#include <fstream>
+#include <iterator>
 #include <mutex>
 #include <thread>
 
@@ -18,6 +22,7 @@
 using register_pb::Frame;
 
 constexpr std::chrono::milliseconds kTick{20};
+constexpr const char* kVersionFile = "version.json";
 
 int64_t clock_us(clockid_t which) {
   timespec now{};
@@ -37,6 +42,7 @@
  public:
   Service(boost::asio::io_context& daemon, const Config& config, uint64_t seed)
       : daemon_(daemon),
+        folder_(config.folder),
         files_(state::real_files(config.folder)),
         links_(std::make_unique<Links>(
             io_, config, [this](const Frame& frame, const Links::Reply& reply) { take(frame, reply); })),
@@ -112,7 +118,10 @@
   }
 
   void runs(uint64_t number) override {
-    boost::asio::post(io_, [this, number] { node_->runs_version(number); });
+    boost::asio::post(io_, [this, number] {
+      Version now = version();
+      if (now.number != number || keep(now.text)) node_->runs_version(number);
+    });
   }
 
   void propose(std::string text, std::function<void(bool, const std::string&)> told) override {
@@ -129,6 +138,20 @@
   }
 
  private:
+  // Told as run only once the next start would run it too.
+  bool keep(const std::string& text) {
+    std::error_code error;
+    if (text.empty()) return std::filesystem::remove(folder_ / kVersionFile, error), !error;
+    const auto fresh = folder_ / (std::string(kVersionFile) + ".new");
+    const int file = ::open(fresh.c_str(), O_WRONLY | O_CREAT | O_TRUNC | O_CLOEXEC, 0600);
+    if (file < 0) return false;
+    const bool good = ::write(file, text.data(), text.size()) == static_cast<ssize_t>(text.size()) &&
+                      ::fdatasync(file) == 0;
+    ::close(file);
+    if (good) std::filesystem::rename(fresh, folder_ / kVersionFile, error);
+    return good && !error && files_->sync_folder();
+  }
+
   std::shared_ptr<const reg::View> view() const { return view_.load(); }
 
   void take(const Frame& frame, const Links::Reply& reply) {
@@ -175,6 +198,7 @@
   }
 
   boost::asio::io_context& daemon_;
+  std::filesystem::path folder_;
   boost::asio::io_context io_{1};
   std::unique_ptr<state::Files> files_;
   std::unique_ptr<Links> links_;
@@ -195,4 +219,9 @@
   return std::make_unique<Service>(daemon, config, seed);
 }
 
+std::string kept_version(const Config& config) {
+  std::ifstream in(config.folder / kVersionFile, std::ios::binary);
+  return {std::istreambuf_iterator<char>(in), {}};
+}
+
 }  // namespace umberhoist::fleet
--- a/fleet/service.h
+++ b/fleet/service.h
@@ -14,4 +14,8 @@
 // folder or the address cannot be used.
 std::unique_ptr<Fleet> join(boost::asio::io_context& daemon, const Config& config, uint64_t seed);
 
+// The common part of the version that this relay ran last, as the register told it: what a start runs until
+// it hears of a newer one, whatever the relay's own file says. Empty: none.
+std::string kept_version(const Config& config);
+
 }  // namespace umberhoist::fleet
--- a/register/node.cpp
+++ b/register/node.cpp
@@ -305,6 +305,10 @@
       const auto it = pending_.find(frame.propose_answer().number());
       if (it == pending_.end() || it->second.out) break;
       if (frame.propose_answer().try_elsewhere()) break;  // tried again, until its time is over
+      if (frame.propose_answer().done() && machine_.state().index() < frame.propose_answer().index()) {
+        it->second.index = frame.propose_answer().index();
+        break;
+      }
       const Done done = std::move(it->second.done);
       pending_.erase(it);
       done(frame.propose_answer().done(), frame.propose_answer().reason());
@@ -481,6 +485,7 @@
     answer->set_number(number);
     answer->set_done(done);
     answer->set_reason(reason);
+    answer->set_index(machine_.state().index());
     answer->set_try_elsewhere(!done && reason.empty());
     send(to, std::move(out));
   });
--- a/register/node.h
+++ b/register/node.h
@@ -154,7 +154,8 @@
     Done done;
     int64_t until = 0;
     int64_t tried = 0;
-    bool out = false;  // with this relay's own log
+    bool out = false;    // with this relay's own log
+    uint64_t index = 0;  // made, as this command: told once this relay's own state shows it
   };
   struct Told {
     pb::Seen seen;
--- a/register/node_asks.cpp
+++ b/register/node_asks.cpp
@@ -58,14 +58,16 @@
 
 void Node::expire() {
   std::vector<uint64_t> again;
-  std::vector<Done> over;
+  std::vector<Done> over, made;
   for (auto it = pending_.begin(); it != pending_.end();) {
-    if (now_.steady_us >= it->second.until) {
-      over.push_back(std::move(it->second.done));
+    const bool shown = it->second.index != 0 && machine_.state().index() >= it->second.index;
+    if (shown || now_.steady_us >= it->second.until) {
+      (it->second.index != 0 ? made : over).push_back(std::move(it->second.done));
       it = pending_.erase(it);
       continue;
     }
-    if (!it->second.out && now_.steady_us - it->second.tried >= options_.raft.election_ms * kMs) {
+    if (!it->second.out && it->second.index == 0 &&
+        now_.steady_us - it->second.tried >= options_.raft.election_ms * kMs) {
       again.push_back(it->first);
     }
     ++it;
@@ -73,6 +75,7 @@
   for (const uint64_t number : again) {
     if (pending_.contains(number)) attempt(number);
   }
+  for (const Done& done : made) done(true, "");
   for (const Done& done : over) {
     done(false,
          "no leader took it on in time: without a majority of the voters changes are closed, and messages "
--- a/relay/main.cpp
+++ b/relay/main.cpp
@@ -43,6 +43,9 @@
   if (config.fleet.empty()) return nullptr;
 #ifdef UMBERHOIST_FLEET
   const auto fleet = umberhoist::fleet::load_config(config.fleet);
+  if (const std::string kept = umberhoist::fleet::kept_version(fleet); !kept.empty()) {
+    config = firspool::relay::with_common(config, kept);
+  }
   // Its descriptors are the process's too.
   const size_t own = fleet.connections + fleet.voters.size() + kFleetDescriptors;
   if (config.sockets < own + kLeastSockets) {
--- a/tests/fleet/fleet_test.cpp
+++ b/tests/fleet/fleet_test.cpp
@@ -318,6 +318,25 @@
   EXPECT_TRUE(relays->wait_for(3, "runs version 1"));
 }
 
+TEST_F(Fleet, AStartRunsTheRegistersVersionAndNotItsOwnFiles) {
+  begin(3);
+  auto config = relays->configuration(0);
+  config["settings"]["bounds"]["open_cap"] = 2;
+  relays->configure(0, config);
+  relays->signal(0, SIGHUP);
+  ASSERT_TRUE(relays->wait_for(1, "runs version 1"));
+  ASSERT_TRUE(relays->until([](const auto& all) { return all[1].heard && all[1].words.at("runs") == "1"; }));
+  relays->kill(1);
+  relays->start_all();
+  auto client = relays->client(1);  // its own file has room for twenty
+  for (int m = 0; m < 3; ++m) {
+    client.send(firspool::testing::put_bytes("0000000000000b0" + std::to_string(m),
+                                             "c=keyed,d=60000,k=5c0f6e1a2b3d4c59,dest=7"));
+    const std::string answer = client.line();
+    EXPECT_EQ(answer.substr(0, 3), m < 2 ? "+OK" : "-BU") << m;
+  }
+}
+
 TEST_F(Fleet, WithoutAQuorumChangesAreClosedAndMessagesServed) {
   begin(3);
   relays->kill(1);
