--- a/register/node.cpp
+++ b/register/node.cpp
@@ -331,7 +331,8 @@
   beat->set_number(number);
   beat->set_wall(now_.wall_us);
   beat->set_index(machine_.state().index());
-  beat->set_digest(machine_.digest());
+  const uint64_t* digest = find_index(digests_, machine_.state().index());
+  beat->set_digest(digest != nullptr ? *digest : machine_.digest());  // taken once for each command
   beat->set_map_index(machine_.state().map_index());
   pb::Member* self = beat->mutable_self();
   self->set_name(options_.name);
