--- a/fleet/links.cpp
+++ b/fleet/links.cpp
@@ -107,7 +107,7 @@
           while (self->owner_ != nullptr) {
             const auto frame = unpack(self->in_, bad);
             if (!frame) break;
-            self->owner_->by_name_[frame->from()] = self;
+            self->owner_->know(frame->from(), self);
             self->owner_->receive_(*frame, [weak = self->weak_from_this()](const register_pb::Frame& answer) {
               if (const auto to = weak.lock()) to->send(pack(answer));
             });
@@ -161,6 +161,14 @@
   for (const auto& connection : taken_) connection->drop();
 }
 
+// By connections that are open: a name that nobody answers to any more makes room.
+void Links::know(const std::string& name, const std::shared_ptr<Connection>& connection) {
+  if (by_name_.size() > 4 * most_connections_) {
+    std::erase_if(by_name_, [](const auto& entry) { return entry.second.expired(); });
+  }
+  if (by_name_.size() <= 4 * most_connections_ || by_name_.contains(name)) by_name_[name] = connection;
+}
+
 void Links::accept() {
   acceptor_.async_accept([this](const Error& error, tcp::socket socket) {
     if (error == boost::asio::error::operation_aborted) return;
--- a/fleet/links.h
+++ b/fleet/links.h
@@ -48,6 +48,7 @@
     bool pausing = false;
   };
 
+  void know(const std::string& name, const std::shared_ptr<Connection>& connection);
   void accept();
   void connect(Outgoing& link);
 
--- a/register/node.cpp
+++ b/register/node.cpp
@@ -272,6 +272,11 @@
 void Node::receive(const pb::Frame& frame, Now now) {
   now_ = now;
   if (frame.from() == options_.name || frame.from().empty()) return;
+  // Names come from whoever connects: no more of them are kept than the fleet may have members.
+  if (!heard_.contains(frame.from()) && voter(frame.from()) == nullptr &&
+      heard_.size() >= options_.rules.most_members + options_.voters.size()) {
+    return;
+  }
   Heard& heard = heard_[frame.from()];
   if (frame.generation() > generation()) {
     seen_generation_ = std::max(seen_generation_, frame.generation());
--- a/relay/relay.cpp
+++ b/relay/relay.cpp
@@ -309,7 +309,10 @@
   // What is this relay's own is taken over with the fleet's word on what is not: inside a window there is
   // none.
   fleet_->propose(config.common, [this, config, told](bool done, const std::string& why) {
-    if (done) take_over(config);
+    if (done) {
+      take_over(config);
+      config_.text = config.text;  // a version that comes later keeps what is this relay's own
+    }
     told(done ? "configuration read again, and known to the fleet" : "configuration stays as it was: " + why);
   });
 }
