--- a/fleet/config.cpp
+++ b/fleet/config.cpp
@@ -26,7 +26,7 @@
     known(root, {"name", "id", "zone", "weight", "listen", "folder", "connections", "queued_bytes", "voter",
                  "timing", "bounds"});
     reg::NodeOptions& node = out_.node;
-    node.name = word(root, "name");
+    node.name = name(root);
     node.slot = static_cast<uint32_t>(number(root, "id", 1, 65535));
     node.zone = root.contains("zone") ? word(root, "zone") : "";
     if (root.contains("weight")) node.weight = real(root, "weight", 0, 1000);
@@ -73,6 +73,12 @@
       fault(line(node), std::string(key) + " is wrong; expected " + expected);
     return *text;
   }
+  std::string name(const toml::table& table) const {
+    const std::string out = word(table, "name");
+    if (!state::plain(out))
+      fault(line(*table.get("name")), "name is wrong; expected plain letters, no blanks");
+    return out;
+  }
   int64_t number(const toml::table& table, const char* key, int64_t least, int64_t most) const {
     const std::string expected =
         "a whole number from " + std::to_string(least) + " to " + std::to_string(most);
@@ -116,7 +122,7 @@
       const toml::table& table = *item.as_table();
       known(table, {"name", "id", "address"});
       reg::Peer peer;
-      peer.name = word(table, "name");
+      peer.name = name(table);
       peer.slot = static_cast<uint32_t>(number(table, "id", 1, 65535));
       if (!names.insert(peer.name).second) fault(line(table), "voter '" + peer.name + "' is given twice");
       if (!ids.insert(peer.slot).second)
--- a/shards/map.cpp
+++ b/shards/map.cpp
@@ -77,9 +77,10 @@
     bound(table, "last", out.last);
     const auto* owner = table.get("owner");
     const auto name = owner == nullptr ? std::nullopt : owner->value_exact<std::string>();
-    if (!name || name->empty() || name->size() > kMostName) {
+    if (!name || name->empty() || name->size() > kMostName || !state::plain(*name)) {
       fault(owner == nullptr ? out.line : line(*owner),
-            "owner is missing or wrong; expected a name of 1 to " + std::to_string(kMostName) + " bytes");
+            "owner is missing or wrong; expected a name of 1 to " + std::to_string(kMostName) +
+                " plain letters");
     } else {
       out.owner = *name;
     }
--- a/state/toml.h
+++ b/state/toml.h
@@ -1,6 +1,7 @@
 // The TOML library as all readers here take it.
 #pragma once
 
+#include <algorithm>
 #include <string_view>
 
 // Its assertions say that `[[= x` cannot come: it can, in a file that an operator wrote, and is then told as
@@ -10,35 +11,23 @@
 
 namespace umberhoist::state {
 
-// Like the library's parse, with one error more: letters beyond ASCII stand in quotes and comments only.
-// Outside of them they are no TOML, and the library's tables of them have holes that it takes for impossible.
+// Like the library's parse, with one error more: letters beyond ASCII are written as \uXXXX, in quotes. As
+// they are, outside of quotes, they are no TOML, and the library's tables of them have holes that it takes
+// for impossible; where quotes begin in a file that is wrong, only the library knows.
 inline toml::table parse_toml(std::string_view text) {
-  toml::source_position at{1, 1};
-  char quote = 0;  // of the string that it is in; '#': a comment
-  bool three = false;
-  for (size_t i = 0; i < text.size(); ++i, ++at.column) {
-    const char c = text[i];
-    const bool triple = text.substr(i, 3) == std::string_view(c == '"' ? "\"\"\"" : "'''");
-    if (c == '\n') {
-      ++at.line;
-      at.column = 0;
-      if (quote == '#' || !three) quote = 0;
-    } else if (quote == 0) {
-      if (c == '#' || c == '"' || c == '\'') {
-        quote = c;
-        three = c != '#' && triple;
-        i += three ? 2 : 0;
-      } else if (static_cast<unsigned char>(c) >= 0x80) {
-        throw toml::parse_error("letters beyond ASCII stand in quotes only", at);
-      }
-    } else if (c == '\\' && quote == '"') {
-      ++i;
-    } else if (c == quote && (!three || triple)) {
-      i += three ? 2 : 0;
-      quote = 0;
-    }
+  const auto beyond =
+      std::find_if(text.begin(), text.end(), [](char c) { return static_cast<unsigned char>(c) >= 0x80; });
+  if (beyond != text.end()) {
+    const auto line = static_cast<toml::source_index>(1 + std::count(text.begin(), beyond, '\n'));
+    throw toml::parse_error("letters beyond ASCII; expected \\uXXXX, in quotes",
+                            toml::source_position{line, 1});
   }
   return toml::parse(text);
 }
 
+// Names that are compared, printed and written into files again.
+inline bool plain(std::string_view name) {
+  return std::all_of(name.begin(), name.end(), [](char c) { return c > 0x20 && c < 0x7f; });
+}
+
 }  // namespace umberhoist::state
