A told wait is kept whole, and a call that went out is never taken for one that did not

Lines at fault: upstream_limits, which held a wait to the longest give_up, and parse_wait; what comes later was sent into it. Now the bound guards the arithmetic alone (24 h); the path through the limits is gone.

From reading, with a test that makes the order happen each time: a connect's time-out that stands in the queue when the connection comes up ended the call as 'could not connect' after its request was written (Exchange::arm); a cancel between the last byte and the word of it did too (give_up). An unsafe message would go twice. An answer that broke off behind a whole head with 429 forgot its wait.

--- a/include/firspool/policy.h
+++ b/include/firspool/policy.h
@@ -161,7 +161,7 @@
   Outcome outcome = Outcome::kError;
   bool final = false;  // the message is finished
   Time took = 0;
-  Time wait = 0;         // with kFull: the wait that was told, 0 if none
+  Time wait = 0;         // with kFull or kSpoilt: the wait that was told, 0 if none
   bool crowded = false;  // with kFull: the host ended the new connection on which it turned the call away
   std::vector<float> report;
 };
--- a/relay/relay.cpp
+++ b/relay/relay.cpp
@@ -51,7 +51,6 @@
   out.connect_timeout = config.settings.connect_timeout;
   out.idle = config.settings.conn_idle;
   out.most_open = config.sockets - kOwnDescriptors - most_clients(config);
-  for (const ClassSettings& c : config.settings.classes) out.most_wait = std::max(out.most_wait, c.give_up);
   return out;
 }
 
--- a/relay/upstream.cpp
+++ b/relay/upstream.cpp
@@ -27,6 +27,7 @@
 constexpr Time kRest = 300 * 1000;  // an answer that has begun is whole within this time, or it never will be
 constexpr Time kSettle = 2 * 1000;  // what a host sends behind an answer comes within this time
 constexpr double kMostReported = 1e9;
+constexpr double kMostWait = 24 * 3600;  // seconds
 constexpr std::string_view kVersion = "HTTP/1.";
 
 std::chrono::steady_clock::time_point at_time(Time t) {
@@ -57,9 +58,10 @@
   return value;
 }
 
-// A wait that is no number is none; one that outlasts every message is held to that.
-Time parse_wait(std::string_view text, Time most) {
-  return static_cast<Time>(std::ceil(std::min(decimal(text).value_or(0) * 1e6, static_cast<double>(most))));
+// A wait that is no number is none. It binds also messages that are yet to come, so it is not cut short by
+// the lives of those that are here; its bound guards the arithmetic alone.
+Time parse_wait(std::string_view text) {
+  return static_cast<Time>(std::ceil(std::min(decimal(text).value_or(0), kMostWait) * 1e6));
 }
 
 std::string_view view(boost::beast::string_view text) { return {text.data(), text.size()}; }
@@ -150,18 +152,26 @@
     });
   }
 
+  // An expiry that stood in the loop's queue when the timer was set anew still arrives, and is not the new
+  // one's: a connection that comes up in the very turn in which its time ends has the call's time from then
+  // on.
   void arm(Time at) {
     timer_.expires_at(at_time(at));
-    timer_.async_wait([self = shared_from_this()](const Error& error) {
-      if (!error && !self->over_) self->give_up(Outcome::kTimeout);
+    timer_.async_wait([self = shared_from_this(), armed = ++armed_](const Error& error) {
+      if (!error && !self->over_ && armed == self->armed_) self->give_up(Outcome::kTimeout);
     });
   }
 
-  // What was never wholly written cannot have run.
+  // What was never wholly written cannot have run. Whether it was is known only once the write has ended: one
+  // that is done and not yet reported, taken for none, would let an unsafe call go twice.
   void give_up(Outcome outcome) {
-    if (over_) return;
+    if (over_ || given_up_) return;
     if (heard_) return spoilt();
-    finish(written_ ? outcome : Outcome::kConnectFailed);
+    if (!began_) return finish(Outcome::kConnectFailed);
+    if (written_) return finish(outcome);
+    given_up_ = outcome;
+    Error ignored;
+    socket_.cancel(ignored);
   }
 
   void write() {
@@ -192,6 +202,7 @@
       if (self->over_) return;
       if (error) return self->finish(Outcome::kConnectFailed);
       self->written_ = true;
+      if (self->given_up_) return self->finish(*self->given_up_);
       self->read();
     });
   }
@@ -256,12 +267,15 @@
   }
 
   // The answer will never be whole. The call may have run whatever status it shows, and has if its first line
-  // says so.
+  // says so. A wait that its head tells has been told all the same.
   void spoilt() {
     final_ = delivered_;
+    if (parser_ && parser_->is_header_done() && parser_->get().result_int() == 429) told_to_wait();
     finish(delivered_ ? Outcome::kOk : Outcome::kSpoilt);
   }
 
+  void told_to_wait() { wait_ = parse_wait(view(parser_->get()[http::field::retry_after])); }
+
   void answered() {
     const auto& answer = parser_->get();
     idle_ = parser_->keep_alive() && buffer_.size() == 0;
@@ -274,7 +288,7 @@
         final_ = true;
         return finish(Outcome::kMoot);
       case 429:
-        wait_ = parse_wait(view(answer[http::field::retry_after]), owner_->limits_.most_wait);
+        told_to_wait();
         return finish(Outcome::kFull);
       case 503:
         if (view(answer["X-Egress-Full"]) == "1") return finish(Outcome::kMoot);
@@ -330,8 +344,10 @@
   std::optional<http::response_parser<http::string_body>> parser_;
   Time begun_ = 0;
   Time deadline_ = 0;
+  uint64_t armed_ = 0;  // how often the timer was set
   bool began_ = false;
   bool written_ = false;
+  std::optional<Outcome> given_up_;  // while its write had not ended
   bool over_ = false;
   bool fresh_ = false;  // it began on a new connection
   bool crowded_ = false;
--- a/relay/upstream.h
+++ b/relay/upstream.h
@@ -33,7 +33,6 @@
     Time connect_timeout = 0;
     Time idle = 0;           // a host closes a connection that has been idle for so long
     size_t most_open = 256;  // connections, with a call on them or idle
-    Time most_wait = 0;      // a longer told wait is held to this
   };
   // Asked right before a call's first byte: a call that may no longer start ends as kMoot, one that may not
   // yet is asked for again by `proceed`.
--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -256,10 +256,7 @@
         host.avoid_until = 0;
         return served(attempt, l);
       case Outcome::kFull:
-        // At the end of a wait all relays that were told come back: the random pause keeps them out of step.
-        if (e.wait > 0) {
-          l.wait_until = std::max(l.wait_until, now_ + e.wait + set_.tick + random_.between(0, kPauseMost));
-        }
+        heed_wait(e, l);
         if (e.crowded) return crowded(d.kind);
         if (!host.ready) return;  // it may turn away whatever comes
         narrow(attempt, l);
@@ -278,10 +275,11 @@
         return unserved(attempt, l, true, false);
       case Outcome::kCancelled:
       case Outcome::kMoot:
-      case Outcome::kSpoilt:  // spoilt answers come from any host alike: no sign of its health
         return;
     }
   }
+      case Outcome::kSpoilt:  // spoilt answers come from any host alike: no sign of its health
+        return heed_wait(e, l);
 
   std::optional<double> reported(const std::vector<float>& report, int index) const {
     if (index < 0 || static_cast<size_t>(index) >= report.size()) return {};
@@ -289,6 +287,12 @@
     return std::isfinite(value) && value >= 0 ? std::optional<double>(value) : std::nullopt;
   }
 
+  // At the end of a wait all relays that were told come back: the random pause keeps them out of step.
+  void heed_wait(const AttemptEnded& e, Lane& l) {
+    if (e.wait <= 0) return;
+    l.wait_until = std::max(l.wait_until, now_ + e.wait + set_.tick + random_.between(0, kPauseMost));
+  }
+
   // A limit nearly used up makes its route dearer, so that routes with limits of their own are used evenly.
   void heed_report(const AttemptEnded& e, Lane& l) {
     const double limit = reported(e.report, set_.report_limit).value_or(0);
--- a/tests/policy_test.cpp
+++ b/tests/policy_test.cpp
@@ -935,3 +935,14 @@
 
 }  // namespace
 }  // namespace firspool::testing
+// The head of an answer told to wait, and the rest of it never came.
+TEST(Spoilt, AWaitThatItTellsIsKept) {
+  Relay relay(plain_settings());
+  const auto sends = all_of<Send>(relay.step(0, {members({member(1)}), relay.message(7, 0)}));
+  ASSERT_EQ(sends.size(), 1u);
+  relay.step(50'000, {ended(sends[0], 0, Outcome::kSpoilt, 50'000, 5 * kSecond)});
+  EXPECT_TRUE(all_of<Send>(relay.step(60'000, {relay.message(8, 60'000)})).empty());
+  EXPECT_TRUE(all_of<Send>(relay.idle(100'000, 5 * kSecond)).empty());
+  EXPECT_FALSE(all_of<Send>(relay.idle(5 * kSecond, 6 * kSecond)).empty());
+}
+
--- a/tests/upstream_test.cpp
+++ b/tests/upstream_test.cpp
@@ -1,6 +1,7 @@
 // Outcomes of calls, against a host that the test plays.
 #include "upstream.h"
 
+#include <boost/asio/post.hpp>
 #include <functional>
 
 #include "peers.h"
@@ -42,22 +43,45 @@
     };
   }
 
+  // The call of a relay whose loop stands still for a while: what happens meanwhile is found in one turn.
+  AttemptEnded call_in_a_late_turn(const std::function<void(Host&)>& part, Time connect_timeout) {
+    boost::asio::io_context io;
+    std::optional<AttemptEnded> end;
+    Upstream late(
+        io, {connect_timeout, 10'000'000, 16}, {}, [](const Call&) { return Upstream::Start::kYes; },
+        [&](const AttemptEnded& out, bool) { end = out; }, [](const ProbeEnded&) {});
+    Call next;
+    next.address = {boost::asio::ip::address_v4::loopback(), host_.port()};
+    next.call_id = "9b1f03aa5c7e2d41";
+    next.timeout = 20'000'000;
+    late.call(next);  // the kernel connects at once
+    const Time until = steady_now() + connect_timeout + 5000;
+    while (steady_now() < until) continue;
+    std::thread host([&] { part(host_); });
+    while (!end) io.run_one();
+    host.join();
+    return *end;
+  }
+
   boost::asio::io_context io_;
   bool may_start_ = true;
+  std::function<void()> at_start_ = [] {};
   bool began_ = false;
   std::optional<AttemptEnded> ended_;
   uint64_t last_ = 0;
   Host host_;
-  Upstream upstream_{
-      io_,
-      {1'000'000, 10'000'000, 16, 60'000'000},
-      {"x0", "x1"},
-      [this](const Call&) { return may_start_ ? Upstream::Start::kYes : Upstream::Start::kNo; },
-      [this](const AttemptEnded& end, bool began) {
-        ended_ = end;
-        began_ = began;
-      },
-      [](const ProbeEnded&) {}};
+  Upstream upstream_{io_,
+                     {1'000'000, 10'000'000, 16},
+                     {"x0", "x1"},
+                     [this](const Call&) {
+                       at_start_();
+                       return may_start_ ? Upstream::Start::kYes : Upstream::Start::kNo;
+                     },
+                     [this](const AttemptEnded& end, bool began) {
+                       ended_ = end;
+                       began_ = began;
+                     },
+                     [](const ProbeEnded&) {}};
 };
 
 // A full table of connections: turned away and hung up on, on a new connection. On one that was in use it is
@@ -116,6 +140,40 @@
   EXPECT_FALSE(began_);
 }
 
+// A relay short of processor time finds in one turn that the connection is up and that its time is over. The
+// request goes out, so what comes of it counts: "could not connect" would let an unsafe message go twice.
+TEST_F(UpstreamTest, AConnectionThatComesUpInTheTurnInWhichItsTimeEndsIsUsed) {
+  EXPECT_EQ(call_in_a_late_turn(answering("200"), 20'000).outcome, Outcome::kOk);
+  EXPECT_EQ(call_in_a_late_turn(
+                [](Host& host) {
+                  host.next();
+                  host.reset();
+                },
+                20'000)
+                .outcome,
+            Outcome::kReset);
+}
+
+// Given up between the write of its last byte and the word that it was written: it may have run.
+TEST_F(UpstreamTest, ACallThatIsCancelledAsItIsWrittenMayHaveRun) {
+  at_start_ = [this] { boost::asio::post(io_, [this] { upstream_.cancel(last_, 0); }); };
+  const AttemptEnded end = call([](Host& host) {
+    host.next();  // all of it came
+    EXPECT_TRUE(host.left());
+  });
+  EXPECT_EQ(end.outcome, Outcome::kCancelled);
+}
+
+TEST_F(UpstreamTest, ACallThatIsCancelledWhileItsAnswerIsHalfReadMayHaveRun) {
+  const AttemptEnded end = call([this](Host& host) {
+    host.next();
+    host.raw("HTTP/1.1 503 x\r\nConte");
+    boost::asio::post(io_, [this] { upstream_.cancel(last_, 0); });
+    EXPECT_TRUE(host.left());
+  });
+  EXPECT_TRUE(end.outcome == Outcome::kSpoilt || end.outcome == Outcome::kCancelled);
+}
+
 // The host drained, or its destination told another call to wait, while this one's connection came up.
 TEST_F(UpstreamTest, LooksOnceMoreBeforeTheFirstByte) {
   may_start_ = false;
@@ -161,6 +219,51 @@
   }
 }
 
+// Cut after each byte: nothing of it is taken for a refusal, and a first line with 200 is true from its end
+// on.
+TEST_F(UpstreamTest, AnAnswerThatBreaksOffAfterAnyByteMayHaveRun) {
+  for (const std::string status : {"429 x", "503 x", "200 x"}) {
+    const std::string whole = "HTTP/1.1 " + status + "\r\nRetry-After: 1.5\r\nContent-Length: 4\r\n\r\nbody";
+    const size_t head = whole.find("body");
+    for (size_t cut = 0; cut < whole.size(); ++cut) {
+      const AttemptEnded end = call([&](Host& host) {
+        host.next();
+        if (cut > 0) host.raw(whole.substr(0, cut));
+        host.drop();
+      });
+      const bool ran = status.starts_with("200") && cut > std::string("HTTP/1.1 200").size();
+      EXPECT_EQ(end.outcome, cut == 0 ? Outcome::kReset : ran ? Outcome::kOk : Outcome::kSpoilt) << cut;
+      EXPECT_EQ(end.final, ran) << cut;
+      // A wait that was told counts, whatever became of the rest.
+      EXPECT_EQ(end.wait, status.starts_with("429") && cut >= head ? 1'500'000 : 0) << cut;
+    }
+  }
+}
+
+TEST_F(UpstreamTest, AnAnswerThatComesAByteAtATimeIsRead) {
+  const AttemptEnded end = call([](Host& host) {
+    host.next();
+    for (const char byte : std::string("HTTP/1.1 503 x\r\nContent-Length: 2\r\n\r\nhi")) {
+      host.raw(std::string(1, byte));
+    }
+  });
+  EXPECT_EQ(end.outcome, Outcome::kFull);
+}
+
+// Half a line on a resting connection, in the instant in which the next call is written: no answer can be
+// told from it, and the call may have run.
+TEST_F(UpstreamTest, HalfALineAheadOfTheNextAnswerMayHaveRun) {
+  EXPECT_EQ(call(answering("200")).outcome, Outcome::kOk);
+  const AttemptEnded end = call([](Host& host) {
+    host.next();
+    host.raw("HTTP/1.1 2");
+    host.answer("503");
+    EXPECT_TRUE(host.left());
+  });
+  EXPECT_EQ(end.outcome, Outcome::kSpoilt);
+  EXPECT_EQ(host_.connections(), 1);
+}
+
 TEST_F(UpstreamTest, AFirstLineWith200IsTrueWhateverFollows) {
   for (const std::string& bytes :
        {std::string("HTTP/1.1 200 OK\r\n\x01\x02noise"), std::string("HTTP/1.1 200 OK\r\nContent-Le"),
@@ -219,7 +322,14 @@
     EXPECT_EQ(end.outcome, Outcome::kFull);
     EXPECT_EQ(end.wait, 0) << wait;
   }
-  EXPECT_EQ(call(answering("429", "Retry-After: 1e30\r\n")).wait, 60'000'000);
+  EXPECT_EQ(call(answering("429", "Retry-After: 1e30\r\n")).wait, 24 * Time{3600'000'000});
+}
+
+// Held to the longest life of a message, a wait of 10.8 s ended after 5 s where messages live for 5 s, and
+// what came in the meantime was sent into it.
+TEST_F(UpstreamTest, AWaitIsNotCutShort) {
+  EXPECT_EQ(call(answering("429", "Retry-After: 10.8\r\n")).wait, 10'800'000);
+  EXPECT_EQ(call(answering("429", "Retry-After: 3600.5\r\n")).wait, 3600'500'000);
 }
 
 }  // namespace
