Connections of clients end by a lingering close; a planned end answers all that was read

Cause: Session::close looked whether anything was unread and then closed: what came in between made the close a reset. The planned end closed the listener over connections that the kernel had made and nobody had accepted (reset, their requests with them), and the process ended without asking whether sessions were writing, had begun a command or waited for the disk (wait_for_end). Change: all that ends a connection of a client that is still there shuts the sending side and throws away what still comes, within 1 s of quiet, 5 s, 96 MB and an eighth of the room; the end first accepts what is connected and gives a new connection 0.3 s for its request; the relay ends once its sessions have. The session's states are one enum with its transitions. Also: the process's own limit on descriptors holds where it is lower than the configuration's; after a clock that was stepped back no window counts on an attempt of a time to come; a class that is gone gives back what was never tried.

--- a/relay/clients.cpp
+++ b/relay/clients.cpp
@@ -25,14 +25,16 @@
 constexpr Time kLeastCommand = 3 * kSecond / 10;  // the first one gets what is left of the silence, but this
 constexpr Time kClientWaits = 2 * kSecond / 5;    // then it gives its request up
 constexpr Time kMostWrite = 2 * kSecond;          // for an answer that the client does not read
-constexpr Time kMostDrain = 5 * kSecond;  // after an error, so that a client still sending gets to read it
-constexpr size_t kMostDrained = 96 * 1024 * 1024;  // bytes, and so many bytes of it
-constexpr size_t kDrainAtOnce = 256 * 1024;
+// A lingering close ends when the client has closed too, or nothing came for a while, or too much did.
+constexpr Time kLingerQuiet = kSecond;
+constexpr Time kMostLinger = 5 * kSecond;  // so that a client that is still sending gets to read its error
+constexpr size_t kMostLingered = 96 * 1024 * 1024;  // bytes
+constexpr size_t kLingerAtOnce = 256 * 1024;
+constexpr size_t kLingerShare = 8;  // part of the room that may be taken by them: beyond it the oldest goes
 // For another connection to be let in, at the limit.
 constexpr Time kIdleLeast = 2 * kSecond;         // between requests
 constexpr Time kPressedLeast = kSecond / 20;     // the same, where every other was of use just now
 constexpr Time kSilentLeast = 3 * kSecond / 10;  // with nothing ever sent
-constexpr Time kDrainLeast = kSecond;
 // Clients may hold a third of the descriptors for requests, two thirds of the room here. Connections that
 // stand idle are kept to a quarter of the room, so that they never are what holds the next one up.
 constexpr size_t kIdleShare = 4;
@@ -92,7 +94,14 @@
   return out;
 }
 
-// One client: a request is read, answered, and only then the next one is looked at.
+// One client: a request is read, answered, and only then the next one is looked at. The states of its
+// connection, and what leads on:
+//   kReading    between requests or within one; -> kServing by a whole command, -> kWriting by an error
+//   kServing    its answer is not known yet; -> kWriting by the answer
+//   kWriting    -> kReading, or after the last answer kLingering
+//   kLingering  this side has shut its sending; -> kClosed
+//   kClosed     by the client's end, an error, an answer that is not read, or the end of the lingering
+// Whatever ends a connection of a client that is still there passes through kLingering.
 class Clients::Session : public std::enable_shared_from_this<Session> {
  public:
   Session(Clients& owner, tcp::socket socket)
@@ -123,10 +132,13 @@
     if (owner_->finishing_) finish();
   }
 
-  // Wakes a pending read, which then decides: bytes that came in the meantime are a request to be served.
+  // Wakes a pending read, which then decides: bytes that came in the meantime are a request to be served. A
+  // connection that has only just come gets a moment to bring its first.
   void finish() {
+    if (state_ != State::kReading || !parser_.empty()) return;
+    if (!spoke_ && steady_now() - since_ < kSilentLeast) return;
     boost::system::error_code ignored;
-    if (state_ == State::kReading && parser_.empty()) socket_.cancel(ignored);
+    socket_.cancel(ignored);
   }
 
   void orphan() {
@@ -145,10 +157,12 @@
     const Time began = state_ == State::kReading && began_ != 0 ? now - began_ : 0;
     if (began >= kMostCommand || (!spoke_ && began >= kLeastCommand && now - since_ >= kMostSilent)) {
       refuse("-ERR the command took too long");
-    } else if ((state_ == State::kReading && !spoke_ && began_ == 0 && now - since_ >= kMostSilent &&
-                quiet()) ||
-               (state_ == State::kWriting && now - since_ >= kMostWrite) ||
-               (state_ == State::kDraining && now - since_ >= kMostDrain)) {
+    } else if (state_ == State::kReading && !spoke_ && began_ == 0 && now - since_ >= kMostSilent &&
+               quiet()) {
+      linger();
+    } else if ((state_ == State::kWriting && now - since_ >= kMostWrite) ||
+               (state_ == State::kLingering &&
+                (now - since_ >= kMostLinger || now - came_ >= kLingerQuiet))) {
       close();
     }
   }
@@ -157,7 +171,6 @@
   // begun. `pressed`: nothing else is left that could go.
   Time spare(Time now, bool pressed) const {
     const Time age = now - since_;
-    if (state_ == State::kDraining) return age - kDrainLeast;
     if (state_ != State::kReading || began_ != 0) return -1;
     return age - (!spoke_ ? kSilentLeast : pressed ? kPressedLeast : kIdleLeast);
   }
@@ -168,20 +181,37 @@
     return socket_.available(error) == 0 || error;
   }
 
-  void close() {
+  // A close over unread bytes is a reset, which may destroy an answer on its way. So the sending side is
+  // shut, and what still comes is thrown away: a request that crosses this end gets no answer, so its client
+  // sends it once more on a new connection, and it is not acted on here.
+  void linger() {
+    if (owner_ == nullptr || state_ == State::kLingering) return;
+    state_ = State::kLingering;
+    since_ = came_ = steady_now();
+    parser_ = RespParser();
+    began_ = 0;
     boost::system::error_code ignored;
+    socket_.cancel(ignored);
     socket_.shutdown(tcp::socket::shutdown_send, ignored);
+    linger_on();
+    owner_->lingers(place);
+  }
+
+  void close() {
+    boost::system::error_code ignored;
     socket_.close(ignored);
-    state_ = State::kClosed;
-    if (owner_ != nullptr) std::exchange(owner_, nullptr)->forget(place);
+    const State before = std::exchange(state_, State::kClosed);
+    if (owner_ == nullptr) return;
+    std::exchange(owner_, nullptr)->forget(place, before == State::kLingering);
   }
 
  private:
-  enum class State { kReading, kServing, kWriting, kDraining, kClosed };
+  enum class State { kReading, kServing, kWriting, kLingering, kClosed };
 
   void readable(const boost::system::error_code& error) {
     if (owner_ == nullptr || state_ != State::kReading) return;
-    if (error && (error != boost::asio::error::operation_aborted || quiet())) return close();
+    if (error == boost::asio::error::operation_aborted && quiet()) return linger();
+    if (error && error != boost::asio::error::operation_aborted) return close();
     boost::system::error_code failed;
     const size_t count = socket_.read_some(boost::asio::buffer(owner_->bytes_), failed);
     if (failed == boost::asio::error::would_block) return proceed();
@@ -240,37 +270,30 @@
                                if (error) return self->close();
                                std::string().swap(self->out_);
                                self->since_ = steady_now();
-                               self->last_ ? self->drain() : self->proceed();
+                               self->last_ ? self->linger() : self->proceed();
                              });
   }
 
-  // What follows cannot be read any more. A close with bytes unread would be a reset, which may overtake the
-  // error: the sending side ends, and what still comes is thrown away for a while.
+  // What follows cannot be read any more.
   void refuse(const std::string& line) {
     last_ = true;
     answer(line);
   }
 
-  void drain() {
-    boost::system::error_code ignored;
-    socket_.cancel(ignored);
-    socket_.shutdown(tcp::socket::shutdown_send, ignored);
-    parser_ = RespParser();
-    state_ = State::kDraining;
-    drain_on();
-  }
-
-  void drain_on() {
+  void linger_on() {
     socket_.async_wait(tcp::socket::wait_read, [self = shared_from_this()](auto error) {
-      if (self->owner_ == nullptr || self->state_ != State::kDraining) return;
-      if (error == boost::asio::error::operation_aborted) return self->drain_on();
+      if (self->owner_ == nullptr || self->state_ != State::kLingering) return;
+      if (error == boost::asio::error::operation_aborted) return self->linger_on();
       if (error) return self->close();
       const ssize_t got =
-          ::recv(self->socket_.native_handle(), nullptr, kDrainAtOnce, MSG_TRUNC | MSG_DONTWAIT);
-      if (got > 0) self->drained_ += static_cast<size_t>(got);
+          ::recv(self->socket_.native_handle(), nullptr, kLingerAtOnce, MSG_TRUNC | MSG_DONTWAIT);
       const bool empty = got < 0 && (errno == EAGAIN || errno == EINTR);
-      if ((got <= 0 && !empty) || self->drained_ > kMostDrained) return self->close();
-      self->drain_on();
+      if (got > 0) {
+        self->lingered_ += static_cast<size_t>(got);
+        self->came_ = steady_now();
+      }
+      if ((got <= 0 && !empty) || self->lingered_ > kMostLingered) return self->close();
+      self->linger_on();
     });
   }
 
@@ -279,16 +302,22 @@
   RespParser parser_;
   std::string out_;
   State state_ = State::kReading;
-  Time since_;      // when it connected, was last answered, or an answer or the draining began
+  Time since_;      // when it connected, was last answered, or an answer or the lingering began
   Time came_ = 0;   // when the newest byte came
   Time began_ = 0;  // when a command's first byte was read; 0: none has begun
-  size_t drained_ = 0;
+  size_t lingered_ = 0;
   bool spoke_ = false;
   bool last_ = false;
 };
 
 Clients::Clients(boost::asio::io_context& io, const tcp::endpoint& listen, size_t most, Put put)
-    : io_(io), acceptor_(io), pause_(io), sweeper_(io), most_(most), put_(std::move(put)) {
+    : io_(io),
+      acceptor_(io),
+      pause_(io),
+      sweeper_(io),
+      most_lingering_(std::max<size_t>(1, most / kLingerShare)),
+      most_(most - most_lingering_),
+      put_(std::move(put)) {
   acceptor_.open(listen.protocol());
   acceptor_.set_option(tcp::acceptor::reuse_address(true));
   acceptor_.bind(listen);
@@ -299,6 +328,7 @@
 
 Clients::~Clients() {
   for (const auto& session : sessions_) session->orphan();
+  for (const auto& session : lingering_) session->orphan();
 }
 
 void Clients::accept() {
@@ -314,17 +344,21 @@
       });
       return;
     }
-    boost::system::error_code ignored;
-    socket.set_option(tcp::no_delay(true), ignored);
-    socket.non_blocking(true, ignored);
-    auto session = std::make_shared<Session>(*this, std::move(socket));
-    session->place = sessions_.insert(sessions_.end(), session);
-    ++came_.front();
-    session->proceed();
+    admit(std::move(socket));
     accept();
   });
 }
 
+void Clients::admit(tcp::socket socket) {
+  boost::system::error_code ignored;
+  socket.set_option(tcp::no_delay(true), ignored);
+  socket.non_blocking(true, ignored);
+  auto session = std::make_shared<Session>(*this, std::move(socket));
+  session->place = sessions_.insert(sessions_.end(), session);
+  ++came_.front();
+  session->proceed();
+}
+
 // At the limit the connection that has been of no use for longest goes. Clients keep connections for good,
 // and some connect and say nothing: they would shut out those that have something to hand in.
 bool Clients::make_room() {
@@ -341,12 +375,19 @@
     if (best) break;
   }
   if (!best) return false;  // the next look is the sweep's
-  accepting_ = true;        // closing it asks for the next accept: that is the caller's
-  best->close();
+  accepting_ = true;        // its end asks for the next accept: that is the caller's
+  best->linger();
   accepting_ = false;
   return true;
 }
 
+// It takes no room of those that have something to hand in, and there are only so many like it.
+void Clients::lingers(std::list<std::shared_ptr<Session>>::iterator place) {
+  lingering_.splice(lingering_.end(), sessions_, place);
+  if (lingering_.size() > most_lingering_) lingering_.front()->close();
+  accept();
+}
+
 // How long a connection may stand idle. By Little's law as many are idle as come in that time: where clients
 // open one for each message and keep it, 121 a second that are kept for 2 s would take 242 descriptors, and
 // clients that may not hold so many could not reach this relay at all. Where few come they stay.
@@ -362,8 +403,10 @@
   const Time most_idle = this->most_idle();
   for (auto next = sessions_.begin(); next != sessions_.end();) {
     const auto session = *next++;
-    session->idle_for(most_idle, now) ? session->close() : session->check(now);
+    session->idle_for(most_idle, now) ? session->linger() : session->check(now);
+    if (finishing_) session->finish();
   }
+  for (auto next = lingering_.begin(); next != lingering_.end();) (*next++)->check(now);
   std::rotate(came_.begin(), came_.end() - 1, came_.end());
   came_.front() = 0;
   accept();
@@ -373,17 +416,25 @@
   });
 }
 
-void Clients::forget(std::list<std::shared_ptr<Session>>::iterator place) {
-  sessions_.erase(place);
-  accept();
+void Clients::forget(std::list<std::shared_ptr<Session>>::iterator place, bool lingering) {
+  (lingering ? lingering_ : sessions_).erase(place);
+  if (!lingering) accept();
 }
 
+// What the kernel has connected and nobody accepted would be reset with the listener: its client may have
+// sent a request already.
 void Clients::finish() {
   finishing_ = true;
-  boost::system::error_code ignored;
-  acceptor_.close(ignored);
+  boost::system::error_code error;
+  acceptor_.non_blocking(true, error);
+  while (!error && sessions_.size() < most_) {
+    tcp::socket socket(io_);
+    acceptor_.accept(socket, error);
+    if (!error) admit(std::move(socket));
+  }
+  acceptor_.close(error);
   pause_.cancel();
-  for (const auto& session : sessions_) session->finish();
+  for (auto next = sessions_.begin(); next != sessions_.end();) (*next++)->finish();
 }
 
 }  // namespace firspool::relay
--- a/relay/clients.h
+++ b/relay/clients.h
@@ -30,26 +30,33 @@
   // Takes no new connection and closes those that are open, each only between requests.
   void finish();
 
+  // After `finish`: all that was read has its answer, and the clients have seen the end of their connections.
+  bool settled() const { return sessions_.empty() && lingering_.empty(); }
+
  private:
   class Session;
 
   void accept();
+  void admit(tcp::socket socket);
   bool make_room();
   void sweep();
   Time most_idle() const;
-  void forget(std::list<std::shared_ptr<Session>>::iterator place);
+  void lingers(std::list<std::shared_ptr<Session>>::iterator place);
+  void forget(std::list<std::shared_ptr<Session>>::iterator place, bool lingering);
 
   boost::asio::io_context& io_;
   tcp::acceptor acceptor_;
   boost::asio::steady_timer pause_;
   boost::asio::steady_timer sweeper_;
-  size_t most_;
+  size_t most_lingering_;
+  size_t most_;  // that do not linger
   Put put_;
   bool accepting_ = false;
   bool finishing_ = false;
   std::array<size_t, 10> came_{};      // connections in each of the last sweeps' spans, the present one first
   std::array<char, 64 * 1024> bytes_;  // what was read last, of any connection
   std::list<std::shared_ptr<Session>> sessions_;
+  std::list<std::shared_ptr<Session>> lingering_;  // the one that has lingered longest first
 };
 
 }  // namespace firspool::relay
--- a/relay/main.cpp
+++ b/relay/main.cpp
@@ -1,4 +1,6 @@
 // Wiring and signals.
+#include <sys/resource.h>
+
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/signal_set.hpp>
 #include <csignal>
@@ -14,6 +16,21 @@
 
 namespace {
 
+// Where the process itself may hold fewer descriptors than the configuration says, idle clients would take
+// those that the watch, the notices, the calls and the journal need.
+constexpr size_t kLeastDescriptors = 32;
+
+firspool::relay::Config within_own_limit(firspool::relay::Config config) {
+  rlimit own{};
+  if (::getrlimit(RLIMIT_NOFILE, &own) != 0 || own.rlim_cur >= config.sockets) return config;
+  if (own.rlim_cur < kLeastDescriptors) {
+    throw std::invalid_argument("the process may hold " + std::to_string(own.rlim_cur) +
+                                " descriptors; expected " + std::to_string(kLeastDescriptors) + " or more");
+  }
+  config.sockets = own.rlim_cur;
+  return config;
+}
+
 #ifdef UMBERHOIST_FLEET
 constexpr size_t kFleetDescriptors = 12;  // its listener, event loop, log, peers, folder, and one file read
 constexpr size_t kLeastSockets = 64;      // as the configuration's own least
@@ -44,7 +61,7 @@
 #ifdef UMBERHOIST_FLEET
   const auto fleet = umberhoist::fleet::load_config(config.fleet);
   if (const std::string kept = umberhoist::fleet::kept_version(fleet); !kept.empty()) {
-    config = firspool::relay::with_common(config, kept);
+    config = within_own_limit(firspool::relay::with_common(config, kept));
   }
   // Its descriptors are the process's too.
   const size_t own = fleet.connections + fleet.voters.size() + kFleetDescriptors;
@@ -69,7 +86,7 @@
     std::signal(SIGXFSZ, SIG_IGN);  // a file that may not grow is a write that fails, like any other
     boost::asio::io_context io(1);
     boost::asio::signal_set signals(io, SIGTERM, SIGINT, SIGHUP);
-    firspool::relay::Config config = firspool::relay::load_config();
+    firspool::relay::Config config = within_own_limit(firspool::relay::load_config());
     std::unique_ptr<umberhoist::fleet::Fleet> fleet;
     try {
       fleet = join_fleet(io, config);
--- a/relay/relay.cpp
+++ b/relay/relay.cpp
@@ -193,7 +193,6 @@
     }
     const uint64_t number = ++last_number_;
     Held& held = held_[number];
-    held.due = now + (entry.due - wall);
     held.attempts = entry.attempts;
     held.accepted = true;
     held.handed = std::move(entry.message);
@@ -202,10 +201,13 @@
     in.id = number;
     in.message_class = class_of(held.handed.message_class);
     if (in.message_class < 0) {  // no class of these settings: nothing is known of what it allows
-      finish(number, Notice{held.handed.id, false, 0});
+      finish(number, Notice{held.handed.id, entry.unsettled.empty(), 0});
       return;
     }
     in.due = held.due;
+    // Where the wall clock was stepped back meanwhile, no life is longer for it than its class allows,
+    const Time life = config_.settings.classes[static_cast<size_t>(in.message_class)].give_up;
+    held.due = now + std::min(entry.due - wall, life);
     in.tenant = tenant_of(held.handed.tenant);
     in.destination = held.handed.destination;
     in.attempts = entry.attempts;
@@ -214,6 +216,8 @@
       in.ran = true;
       in.ran_sent = now + (sent - wall);
       in.ran_zone = zone;
+      // and how long ago an attempt of a time to come was made is not known: no window counts on it.
+      if (sent > wall) in.ran_sent = std::numeric_limits<Time>::min() / 2;
     }
     fleet_ ? fleet_->resume(in) : happened(in);
   });
@@ -596,7 +600,8 @@
     closed_ = true;
     if (clients_) clients_->finish();
   }
-  const bool idle = held_.empty() && notices_.empty() && unrecorded_.empty() && unsent_.empty();
+  const bool idle = held_.empty() && notices_.empty() && unrecorded_.empty() && unsent_.empty() &&
+                    unanswered_.empty() && (!clients_ || clients_->settled());
   if (age >= kLastCall || (closed_ && idle)) return io_.stop();
   stop_timer_.expires_after(std::chrono::microseconds(kStopPoll));
   stop_timer_.async_wait([this](const boost::system::error_code& error) {
--- a/tests/peers.cpp
+++ b/tests/peers.cpp
@@ -131,6 +131,10 @@
   }
 }
 
+bool Host::waiting() const {
+  return readable(listener_.fd(), 0) || (connection_.open() && readable(connection_.fd(), 0));
+}
+
 void Host::answer(const std::string& status, const std::string& headers) {
   ASSERT_TRUE(connection_.send("HTTP/1.1 " + status + " x\r\n" + headers + "Content-Length: 2\r\n\r\nhi"));
 }
@@ -262,7 +266,7 @@
   std::filesystem::rename(folder_ / "config.new", folder_ / "config.json");
 }
 
-void Program::start(int descriptors) {
+void Program::launch(int descriptors) {
   int pipe[2];
   ASSERT_EQ(::pipe2(pipe, O_CLOEXEC), 0);
   const std::string config = folder_ / "config.json";
@@ -281,6 +285,17 @@
   }
   ::close(pipe[1]);
   log_ = Socket(pipe[0]);
+}
+
+std::string Program::refusal(int descriptors) {
+  launch(descriptors);
+  std::string line = log_.line();
+  ::waitpid(std::exchange(child_, -1), nullptr, 0);
+  return line;
+}
+
+void Program::start(int descriptors) {
+  launch(descriptors);
   const std::string line = log_.line();
   ASSERT_TRUE(line.starts_with("listening on ")) << line;
   port_ = static_cast<uint16_t>(std::stoi(line.substr(line.rfind(':') + 1)));
--- a/tests/peers.h
+++ b/tests/peers.h
@@ -72,6 +72,7 @@
   void drop() { connection_.close(); }
   void reset() { connection_.reset(); }
   int connections() const { return connections_; }
+  bool waiting() const;  // another connection waits to be accepted, or bytes to be read
 
  private:
   Socket listener_ = Socket::listen();
@@ -87,7 +88,8 @@
   void tell(const nlohmann::json& list);       // to the watches that are open and those to come
   nlohmann::json notice();                     // the next one that was answered 204
   void refuse(int count) { refuse_ = count; }  // so many posts are answered 503 first
-  void mute() { mute_ = true; }                // watches get no answer, as while discovery is down
+  // Watches that come while it is mute never get an answer, as while discovery is down.
+  void mute(bool on = true) { mute_ = on; }
   int refused() const { return refused_; }
 
  private:
@@ -119,6 +121,7 @@
   ~Program();
 
   void start(int descriptors = 0);
+  std::string refusal(int descriptors);     // the line with which it refuses to start
   void configure(const std::string& text);  // replaces the file; it is read at a start or on SIGHUP
   void signal(int number);
   int wait();  // exit status; minus the signal that ended it
@@ -128,6 +131,8 @@
   Socket client() const { return Socket::connect(port_); }
 
  private:
+  void launch(int descriptors);
+
   std::filesystem::path folder_;
   pid_t child_ = -1;
   uint16_t port_ = 0;
