--- a/rehearsal/run.cpp
+++ b/rehearsal/run.cpp
@@ -205,6 +205,7 @@
       Relay& relay = relays_[i];
       const auto folder = options_.folder / "relays" / ("n" + std::to_string(i));
       relay.process = std::make_unique<standins::Process>(options_.relay, folder, scenario_.sockets);
+      relay.process->forget_state();  // of an earlier run whose report lies there
       limits::Limits most;
       most.memory = static_cast<size_t>(scenario_.memory_mb) * 1'000'000;
       most.disk = static_cast<size_t>(scenario_.disk_mb * 1e6);
--- a/relay/relay.cpp
+++ b/relay/relay.cpp
@@ -79,6 +79,7 @@
       upstream_(
           io, upstream_limits(config), config.report_fields,
           [this](const Call& call) { return may_start(call); },
+          [this](const Endpoint& endpoint) { return may_probe(endpoint); },
           [this](const AttemptEnded& end, bool began) { ended(end, began); },
           [this](const ProbeEnded& end) {
             happened(end);
@@ -364,6 +365,15 @@
   return Start::kLater;
 }
 
+// The same of a probe, which counts as a call: its connection may come up after its host was drained, or its
+// destination told a call to wait.
+bool Relay::may_probe(const Endpoint& endpoint) {
+  const ListedHost* host = directory_.find(endpoint);
+  if (host == nullptr || !directory_.active(endpoint)) return false;
+  const auto wait = waits_.find(lane_of(host->member));
+  return wait == waits_.end() || wait->second <= steady_now();
+}
+
 void Relay::ended(const AttemptEnded& end, bool began) {
   const bool never = end.outcome == Outcome::kFull || end.outcome == Outcome::kConnectFailed ||
                      end.outcome == Outcome::kMoot;
--- a/relay/relay.h
+++ b/relay/relay.h
@@ -75,6 +75,7 @@
   void put(Handed handed, Clients::Answer answer);
   void told(const HostList& list);
   Upstream::Start may_start(const Call& call);
+  bool may_probe(const Endpoint& endpoint);
   void ended(const AttemptEnded& end, bool began);
   void back(const Endpoint& endpoint);
   void happened(Event event);
--- a/relay/upstream.cpp
+++ b/relay/upstream.cpp
@@ -176,7 +176,9 @@
 
   void write() {
     // The connection took its time: what was told meanwhile counts.
-    const Start start = probe_ ? Start::kYes : owner_->may_start_(call_);
+    const Start start = !probe_                              ? owner_->may_start_(call_)
+                        : owner_->may_probe_(call_.endpoint) ? Start::kYes
+                                                             : Start::kNo;
     if (start == Start::kLater) {
       owner_->later_.push_back(shared_from_this());
       return;
@@ -362,11 +364,12 @@
 };
 
 Upstream::Upstream(boost::asio::io_context& io, Limits limits, std::vector<std::string> report_fields,
-                   MayStart may_start, Ended ended, Probed probed)
+                   MayStart may_start, MayProbe may_probe, Ended ended, Probed probed)
     : io_(io),
       limits_(limits),
       report_fields_(std::move(report_fields)),
       may_start_(std::move(may_start)),
+      may_probe_(std::move(may_probe)),
       ended_(std::move(ended)),
       probed_(std::move(probed)),
       sweeper_(io) {
--- a/relay/upstream.h
+++ b/relay/upstream.h
@@ -38,11 +38,12 @@
   // yet is asked for again by `proceed`.
   enum class Start { kYes, kNo, kLater };
   using MayStart = std::function<Start(const Call&)>;
+  using MayProbe = std::function<bool(const Endpoint&)>;               // the same of a probe
   using Ended = std::function<void(const AttemptEnded&, bool began)>;  // began: MayStart allowed it
   using Probed = std::function<void(const ProbeEnded&)>;
 
   Upstream(boost::asio::io_context& io, Limits limits, std::vector<std::string> report_fields,
-           MayStart may_start, Ended ended, Probed probed);
+           MayStart may_start, MayProbe may_probe, Ended ended, Probed probed);
   ~Upstream();
 
   void call(Call call);
@@ -69,6 +70,7 @@
   Limits limits_;
   std::vector<std::string> report_fields_;
   MayStart may_start_;
+  MayProbe may_probe_;
   Ended ended_;
   Probed probed_;
   boost::asio::steady_timer sweeper_;
--- a/tests/policy_test.cpp
+++ b/tests/policy_test.cpp
@@ -865,17 +865,14 @@
 
 // It changes with each served call: a record for each would be one for each message.
 TEST(Restart, ThePaceIsRememberedInSteps) {
-  Settings s = plain_settings();
-  s.weights = Weights::kNominal;
+  const Settings s = plain_settings();
   Policy policy(s, 1);
   std::vector<Action> actions;
-  Member one = member(1);
-  one.weight = 1000;
-  policy.step(0, std::vector<Event>{members({one}), DestinationMemory{1, 100, 0, 0, 0, 0.5}}, actions);
+  policy.step(0, std::vector<Event>{members({member(1)}), DestinationMemory{1, 100, 0, 0, 0, 0.5}}, actions);
   Relay messages(s);
   size_t served = 0;
   size_t records = 0;
-  for (int i = 0; i < 600; ++i) {
+  for (int i = 0; i < 1000; ++i) {
     const Time now = (i + 1) * kSecond / 10;
     std::vector<Event> events = {messages.message(i + 1, now)};
     for (const Send& send : all_of<Send>(actions)) events.push_back(ended(send, 0, Outcome::kOk));
--- a/tests/program_test.cpp
+++ b/tests/program_test.cpp
@@ -408,6 +408,44 @@
                                                       {"00000000000000a2", "failed"}}));
 }
 
+// Puts a message into the folder of a relay that is down, as one that it had taken on: its end and its
+// attempts, of which each may have run, in microseconds from now.
+void keep(const std::filesystem::path& state, const std::string& id, Time due, std::vector<Time> attempts) {
+  const auto files = umberhoist::state::real_files(state);
+  umberhoist::state::Journal journal(*files,
+                                     {3'000'000, "n0", 6, 0, umberhoist::state::Durability::kProcess});
+  relay::Handed message;
+  message.id = id;
+  message.message_class = "keyed";
+  message.key = "5c0f6e1a2b3d4c59";
+  message.destination = 7;
+  const Time wall = relay::wall_now();
+  ASSERT_TRUE(journal.accepted(message, wall + due));
+  for (size_t i = 0; i < attempts.size(); ++i) {
+    ASSERT_TRUE(journal.attempt(id, static_cast<int>(i), wall + attempts[i], 0));
+  }
+}
+
+// The window runs from the first attempt that may have run, also where a later one is young.
+TEST(Program, RepeatsAfterARestartWhatIsWithinItsWindowAndNothingElse) {
+  Stage s;
+  for (auto& category : s.config["settings"]["categories"]) category["key_ttl_s"] = 5.0;
+  s.program.configure(s.config.dump());
+  keep(s.program.state(), "00000000000000b1", 20'000'000, {-200'000});
+  keep(s.program.state(), "00000000000000b2", 20'000'000, {-5'200'000});
+  keep(s.program.state(), "00000000000000b3", 20'000'000, {-5'200'000, -100'000});
+  s.program.start();
+  EXPECT_EQ(id_of(s.host.next()), "00000000000000b1");
+  s.host.answer("200");
+  std::set<std::string> failed;
+  for (int i = 0; i < 2; ++i) {
+    const nlohmann::json notice = s.discovery.notice();
+    EXPECT_EQ(notice.at("state"), "failed");
+    failed.insert(notice.at("id"));
+  }
+  EXPECT_EQ(failed, (std::set<std::string>{"00000000000000b2", "00000000000000b3"}));
+}
+
 // The wall clock was stepped back while the process was down. How long ago the attempt was made is not known,
 // so no window counts on it, and no message lives longer than its class allows.
 TEST(Program, AClockThatWasSteppedBackLengthensNoWindow) {
@@ -417,19 +455,7 @@
   EXPECT_EQ(id_of(s.host.next()), "00000000000000a1");
   s.program.kill();
   s.host.drop();
-  {
-    const auto files = umberhoist::state::real_files(s.program.state());
-    umberhoist::state::Journal journal(*files,
-                                       {3'000'000, "n0", 6, 0, umberhoist::state::Durability::kProcess});
-    relay::Handed ahead;
-    ahead.id = "00000000000000a2";
-    ahead.message_class = "keyed";
-    ahead.key = "5c0f6e1a2b3d4c59";
-    ahead.destination = 7;
-    const Time wall = relay::wall_now();
-    ASSERT_TRUE(journal.accepted(ahead, wall + 3600'000'000));
-    ASSERT_TRUE(journal.attempt(ahead.id, 0, wall + 3590'000'000, 0));
-  }
+  keep(s.program.state(), "00000000000000a2", 3600'000'000, {3590'000'000});
   s.program.start();
   EXPECT_EQ(s.discovery.notice(), nlohmann::json({{"id", "00000000000000a2"}, {"state", "failed"}}));
   EXPECT_EQ(id_of(s.host.next()), "00000000000000a1") << "whose attempt is within its window";
--- a/tests/rehearsal/planted_test.cpp
+++ b/tests/rehearsal/planted_test.cpp
@@ -252,7 +252,8 @@
                       Case{"forgets-rates", "expectation", {"kept-return"}},
                       Case{"forgets-tokens", "expectation", {"kept-tokens"}},
                       Case{"forgets-known", "expectation", {"kept-known"}},
-                      Case{"forgets-tenants", "expectation", {"tenant-flood"}}),
+                      Case{"forgets-tenants", "expectation", {"tenant-flood"}},
+                      Case{"forgets-notices", "two-final-answers", {"kept-notices"}}),
     [](const auto& param) { return test_name(param.param.fault); });
 
 INSTANTIATE_TEST_SUITE_P(Races, Planted,
--- a/tests/upstream_test.cpp
+++ b/tests/upstream_test.cpp
@@ -49,7 +49,8 @@
     std::optional<AttemptEnded> end;
     Upstream late(
         io, {connect_timeout, 10'000'000, 16}, {}, [](const Call&) { return Upstream::Start::kYes; },
-        [&](const AttemptEnded& out, bool) { end = out; }, [](const ProbeEnded&) {});
+        [](const Endpoint&) { return true; }, [&](const AttemptEnded& out, bool) { end = out; },
+        [](const ProbeEnded&) {});
     Call next;
     next.address = {boost::asio::ip::address_v4::loopback(), host_.port()};
     next.call_id = "9b1f03aa5c7e2d41";
@@ -68,6 +69,7 @@
   std::function<void()> at_start_ = [] {};
   bool began_ = false;
   std::optional<AttemptEnded> ended_;
+  std::optional<ProbeEnded> probed_;
   uint64_t last_ = 0;
   Host host_;
   Upstream upstream_{io_,
@@ -77,11 +79,12 @@
                        at_start_();
                        return may_start_ ? Upstream::Start::kYes : Upstream::Start::kNo;
                      },
+                     [this](const Endpoint&) { return may_start_; },
                      [this](const AttemptEnded& end, bool began) {
                        ended_ = end;
                        began_ = began;
                      },
-                     [](const ProbeEnded&) {}};
+                     [this](const ProbeEnded& end) { probed_ = end; }};
 };
 
 // A full table of connections: turned away and hung up on, on a new connection. On one that was in use it is
@@ -184,6 +187,27 @@
   EXPECT_EQ(host_.connections(), 1);  // the connection stayed, and no byte was written to it before
 }
 
+// A probe counts as a call: its connection may come up after the host was drained or told to wait.
+TEST_F(UpstreamTest, AProbeLooksOnceMoreBeforeItsFirstByteToo) {
+  const auto probe = [this] {
+    probed_.reset();
+    upstream_.probe({1, 0}, {boost::asio::ip::address_v4::loopback(), host_.port()});
+    while (!probed_) io_.run_one();
+    return probed_->ok;
+  };
+  may_start_ = false;
+  EXPECT_FALSE(probe());
+  may_start_ = true;
+  EXPECT_EQ(call(answering("200")).outcome, Outcome::kOk);  // on the same connection, with nothing before it
+  std::thread host([this] {
+    EXPECT_EQ(host_.next().first, "GET /-/healthy HTTP/1.1");
+    host_.answer("200");
+  });
+  EXPECT_TRUE(probe());
+  host.join();
+  EXPECT_EQ(host_.connections(), 1);
+}
+
 // A call on a connection that the host has closed would end as a reset, and may have run.
 TEST_F(UpstreamTest, DoesNotUseAConnectionThatTheHostClosed) {
   EXPECT_EQ(call([](Host& host) {
