Scouts are bound by budget and chance: surely where few relays hold a token each

With few relays the worst sum is a token each and the rate over the window; only many make it a count close to Poisson. Now the larger of the two bounds that keep it under N + 2 x root of N + 2.

--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -584,12 +584,24 @@
     return l.base * std::max(0.0, kColdMargin * set_.fall_multiple * capacity - (1 - know)) / know;
   }
 
-  // Own part of the fleet's scouts. The relays that hold messages for the lane share them. They are calls
-  // like any other once it is back, so there are no more than the budget that its return begins with.
+  // The most scouts a second of all relays together. They are calls like any other once it is back, so within
+  // a fall window they keep to the budget that its return begins with and to what chance may add to it: where
+  // few relays hold a token each, surely; where many do, by four deviations of a count that is close to
+  // Poisson.
+  double most_scouts(const Lane& l) const {
+    const double window = seconds(set_.fall_window);
+    if (window <= 0) return std::numeric_limits<double>::infinity();
+    const double budget = set_.fall_multiple * set_.start_capacity * l.base * set_.relays * window;
+    const double allowed = budget + kChanceRoots * std::sqrt(budget) + kChanceCalls;
+    const double root = std::sqrt(4 + allowed) - 2;
+    return std::max(root * root, allowed - set_.relays) / window;
+  }
+
+  // Own part of the fleet's scouts. The relays that hold messages for the lane share them.
   double scout_rate(const Lane& l) const {
     if (l.scouts_by == Scouting::By::kSelf) return kScoutLeast;  // what it finds is told to all
-    const double most = kColdMargin * set_.fall_multiple * set_.start_capacity * l.base;
-    return std::min(std::max(kScoutPart * l.base, kScoutLeast / set_.relays), most) / knowing(l);
+    const double wanted = std::max(kScoutPart * l.base, kScoutLeast / set_.relays);
+    return std::min(wanted, most_scouts(l) / set_.relays) / knowing(l);
   }
 
   // When this lane may be sent to; kNever: only after some outcome.
--- a/src/policy_parts.h
+++ b/src/policy_parts.h
@@ -69,6 +69,10 @@
 inline constexpr double kScoutPart =
     0.5;  // scouts of all relays together, in parts of the rate before the outage
 inline constexpr double kScoutLeast = 1.5;  // scouts a second of all relays together at least
+// What the terms of service count as chance beside a budget of so many calls: so many of its roots, and
+// calls.
+inline constexpr double kChanceRoots = 2;
+inline constexpr double kChanceCalls = 2;
 inline constexpr double kHolders =
     5;  // seconds: holders of messages are counted as of an outage at least this old
 inline constexpr double kBaseLeast =
