The pace kept over a restart is no less than the even part; forgets-outages forgets it too

A rare caller whose pace was cut to one call in 16 s came back with it, and hears of a limit's return by its next served call only. Before, a restart forgot the pace, and all that it had held back went at once.

--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -152,9 +152,11 @@
     const LaneKey key = {e.destination, Endpoint{}};
     Lane& l = lanes_[key];
     l.key = key;
-    // Without it all that was held for the pace would go in the first moment of a restart.
+    // Without it all that was held for the pace would go in the first moment of a restart. No less than the
+    // even part of the told limit: the refusals may be over, and a rare caller would hear of that only much
+    // later.
     if (e.pace > 0) {
-      l.pace = l.paced = l.unhindered = e.pace;
+      l.pace = l.paced = l.unhindered = std::max(e.pace, l.limit / set_.relays);
       l.pacer = {0.5 - seconds(random_.between(0, kSecond)), now_};
     }
     if (e.out_since == 0) return;
--- a/tests/policy_test.cpp
+++ b/tests/policy_test.cpp
@@ -863,6 +863,32 @@
   EXPECT_LE(sends({last}), 1u);
 }
 
+// A rare caller that was refused before the restart would not call for a quarter of a minute otherwise.
+TEST(Restart, ThePaceThatIsKeptIsNoLessThanTheEvenPartOfTheToldLimit) {
+  Settings s = plain_settings();
+  s.weights = Weights::kNominal;
+  s.relays = 4;
+  Policy policy(s, 1);
+  std::vector<Action> actions;
+  Member one = member(1);
+  one.weight = 4;
+  std::vector<Event> events = {members({one}), DestinationMemory{1, 100, 0, 0, 0, 0.05}};
+  Relay messages(s);
+  for (int i = 1; i <= 6; ++i) events.push_back(messages.message(i, 0));
+  policy.step(0, events, actions);
+  size_t sent = 0;
+  for (Time now = kSecond / 10; now <= 4 * kSecond; now += kSecond / 10) {
+    std::vector<Event> served;
+    for (const Send& send : all_of<Send>(actions)) served.push_back(ended(send, 0, Outcome::kOk));
+    sent += served.size();
+    EXPECT_LE(served.size(), 1u);
+    actions.clear();
+    policy.step(now, served, actions);
+  }
+  EXPECT_GE(sent, 3u);  // one a second
+  EXPECT_LE(sent, 5u);
+}
+
 // It changes with each served call: a record for each would be one for each message.
 TEST(Restart, ThePaceIsRememberedInSteps) {
   const Settings s = plain_settings();
