The restart's pace is held to a least time since before it, as the machine may be busy

Nothing is wrong with what the relay does. Now the limit is 4 a second and five calls are held to 1.125 s at least, from before the restart: a busy machine makes that longer only.

--- a/tests/program_test.cpp
+++ b/tests/program_test.cpp
@@ -352,9 +352,14 @@
   EXPECT_EQ(id_of(s.host.next()), "00000000000000a2");
 }
 
-// The pace that refusals taught is in the folder: what was held for it does not go at once after a restart.
+// The pace that refusals taught is in the folder: what was held for it does not go at once after a restart, but
+// at the even part of the told limit. Bounded from below alone, by the time since before the restart: a
+// machine that is busy makes it longer and never shorter.
 TEST(Program, ARestartDoesNotSendAllThatItsPaceHeldBack) {
+  constexpr double kLimit = 4;  // calls a second, all of them this relay's
   Stage s;
+  s.config["known"]["members"][0]["size"] = kLimit;
+  s.program.configure(s.config.dump());
   s.program.start();
   EXPECT_EQ(s.put("00000000000000a0", facts("keyed")), "+OK");
   for (int refused = 0; refused < 3; ++refused) {
@@ -362,11 +367,15 @@
     s.host.answer("503");
   }
   for (int i = 1; i <= 6; ++i) EXPECT_EQ(s.put("00000000000000a" + std::to_string(i), facts("keyed")), "+OK");
+  const Time from = relay::steady_now();
   s.restart_killed();
-  // The calls come over connections of their own if they are out together.
-  EXPECT_TRUE(id_of(s.host.next()).starts_with("00000000000000a"));
-  s.host.answer("503");
-  EXPECT_FALSE(s.host.waiting()) << "others went with it";
+  constexpr int kCalls = 5;
+  for (int call = 0; call < kCalls; ++call) {
+    EXPECT_TRUE(id_of(s.host.next()).starts_with("00000000000000a"));
+    s.host.answer("200");
+  }
+  // It starts with half a token at most, and the pace never rises above the limit.
+  EXPECT_GE(static_cast<double>(relay::steady_now() - from), (kCalls - 0.5) / kLimit * 1e6);
 }
 
 // A wait that outlasts every message binds those that come later too.
