A call given up between two parts of its request ends; early answers count

Seen: a new test stood still for ever in one play of two. Its call was cancelled while a part of a long request was written and that was not reported yet: the socket's cancel found nothing to cancel (upstream.cpp, give_up), the next part was started after it, and waited for a host that read no more. Nothing bounds that wait: the call's timer had fired. The message would have no end, and its slot none either. Ruled out: the test's own host (its socket stood with 6 kB unread, the relay's with 2.8 MB to send, by the system's table of sockets). Change: giving up closes the connection, as nothing of it is used again. And the answer is listened for from the request's first byte on: a host that turned a call away by its head was not heard before the last byte, so that its wait was not known and its full table taken for a failed connection. How far a request is stands in one enum (Sent) in place of two flags.

--- a/relay/upstream.cpp
+++ b/relay/upstream.cpp
@@ -86,7 +86,13 @@
 
 }  // namespace
 
-// One request and its answer on one connection.
+// One request and its answer on one connection. The answer is listened for from the request's first byte on:
+// a host may turn a call away before it has read all of it, and what it tells then binds as ever. How far the
+// request is (`Sent`), and what leads on:
+//   kNothing  its connection comes up, or the last look has not let it go yet; -> kPart by the first byte
+//   kPart     -> kWhole by the last byte, -> kBroken by an error: the rest will never go, so it cannot run
+//   kWhole    from here on it may have run
+//   kBroken   -> over, by what had come before the end, or by the end
 class Upstream::Exchange : public std::enable_shared_from_this<Exchange> {
  public:
   Exchange(Upstream& owner, Call call, bool probe)
@@ -167,11 +173,12 @@
   void give_up(Outcome outcome) {
     if (over_ || given_up_) return;
     if (heard_) return spoilt();
-    if (!began_) return finish(Outcome::kConnectFailed);
-    if (written_) return finish(outcome);
+    if (sent_ != Sent::kPart) return finish(unheard(outcome));
     given_up_ = outcome;
+    // Not cancelled: between two parts of a long write there is nothing to cancel, and the next one would
+    // wait for its host for ever.
     Error ignored;
-    socket_.cancel(ignored);
+    socket_.close(ignored);
   }
 
   void write() {
@@ -187,7 +194,7 @@
       idle_ = true;
       return finish(Outcome::kMoot);
     }
-    began_ = true;
+    sent_ = Sent::kPart;
     request_.version(11);
     request_.method(probe_ ? http::verb::get : http::verb::post);
     request_.target(probe_ ? "/-/healthy" : "/events");
@@ -202,13 +209,15 @@
     }
     http::async_write(socket_, request_, [self = shared_from_this()](const Error& error, size_t) {
       if (self->over_) return;
-      if (error) return self->finish(Outcome::kConnectFailed);
-      self->written_ = true;
-      if (self->given_up_) return self->finish(*self->given_up_);
-      self->read();
+      self->sent_ = error ? Sent::kBroken : Sent::kWhole;
+      if (self->given_up_) return self->finish(self->unheard(*self->given_up_));
     });
+    read();
   }
 
+  // What became of a call to which nothing was answered.
+  Outcome unheard(Outcome whole) const { return sent_ == Sent::kWhole ? whole : Outcome::kConnectFailed; }
+
   void read() {
     socket_.async_read_some(buffer_.prepare(kReadAtOnce),
                             [self = shared_from_this()](const Error& error, size_t count) {
@@ -257,9 +266,11 @@
     }
   }
 
-  // The host ended the connection, which may be how it marks an answer's end.
+  // The host ended the connection, which may be how it marks an answer's end. A request that was wholly
+  // written is known to be: the end of its write stands in the loop's queue before this.
   void ended(const Error& error) {
-    if (!heard_) return finish(Outcome::kReset);
+    if (given_up_) return;  // the read was cut off with the write, which decides
+    if (!heard_) return finish(unheard(Outcome::kReset));
     Error cut;
     if (error == boost::asio::error::eof && parser_ && parser_->is_header_done()) {
       parser_->put_eof(cut);
@@ -280,7 +291,7 @@
 
   void answered() {
     const auto& answer = parser_->get();
-    idle_ = parser_->keep_alive() && buffer_.size() == 0;
+    idle_ = parser_->keep_alive() && buffer_.size() == 0 && sent_ == Sent::kWhole;
     report_ = parse_report(view(answer["X-Load-Report"]), owner_->report_fields_);
     switch (answer.result_int()) {
       case 200:
@@ -333,9 +344,11 @@
     out.wait = wait_;
     out.crowded = crowded_;
     out.report = std::move(report_);
-    owner_->ended_(out, began_);
+    owner_->ended_(out, sent_ != Sent::kNothing);
   }
 
+  enum class Sent { kNothing, kPart, kWhole, kBroken };
+
   Upstream* owner_;
   Call call_;
   bool probe_;
@@ -347,8 +360,7 @@
   Time begun_ = 0;
   Time deadline_ = 0;
   uint64_t armed_ = 0;  // how often the timer was set
-  bool began_ = false;
-  bool written_ = false;
+  Sent sent_ = Sent::kNothing;
   std::optional<Outcome> given_up_;  // while its write had not ended
   bool over_ = false;
   bool fresh_ = false;  // it began on a new connection
--- a/tests/peers.cpp
+++ b/tests/peers.cpp
@@ -103,6 +103,17 @@
   return ::read(fd_, &byte, 1) <= 0;
 }
 
+bool Socket::drained() {
+  buffer_.clear();
+  while (fd_ >= 0 && readable(fd_, kDeadlineMs)) {
+    char bytes[65536];
+    if (::read(fd_, bytes, sizeof bytes) <= 0) return true;
+  }
+  return false;
+}
+
+void Socket::half_close() const { ::shutdown(fd_, SHUT_WR); }
+
 std::optional<Request> read_request(Socket& socket) {
   Request out;
   out.first = socket.line();
@@ -131,6 +142,17 @@
   }
 }
 
+void Host::narrow() {
+  const int bytes = 4096;
+  ASSERT_EQ(::setsockopt(listener_.fd(), SOL_SOCKET, SO_RCVBUF, &bytes, sizeof bytes), 0);
+}
+
+void Host::head() {
+  connection_ = listener_.accept();
+  ++connections_;
+  while (!connection_.line().empty()) continue;
+}
+
 bool Host::waiting() const {
   return readable(listener_.fd(), 0) || (connection_.open() && readable(connection_.fd(), 0));
 }
--- a/tests/peers.h
+++ b/tests/peers.h
@@ -44,6 +44,8 @@
   std::string line();                 // without its end; empty at the end of the stream
   std::string exactly(size_t count);  // shorter at the end of the stream
   bool ended();                       // waits for the peer's close; false if bytes come, or nothing does
+  bool drained();                     // the same, and throws away what comes before it
+  void half_close() const;            // nothing more is sent, and what comes is still read
 
  private:
   bool fill();
@@ -66,9 +68,13 @@
   uint16_t port() const { return listener_.port(); }
   std::string address() const { return "127.0.0.1:" + std::to_string(port()); }
   Request next();  // the next call, on the connection that is open or on a new one
+  void narrow();   // connections to come take a few kilobytes at a time: a large call is not written at once
+  void head();     // reads the next call's head on a new connection, and nothing that is not needed for it
   void answer(const std::string& status, const std::string& headers = "");
   void raw(const std::string& bytes) { ASSERT_TRUE(connection_.send(bytes)); }
-  bool left() { return connection_.ended(); }  // waits until the caller has closed
+  bool left() { return connection_.ended(); }    // waits until the caller has closed, with nothing more sent
+  bool gone() { return connection_.drained(); }  // the same, whatever it had sent
+  void half_close() { connection_.half_close(); }
   void drop() { connection_.close(); }
   void reset() { connection_.reset(); }
   int connections() const { return connections_; }
--- a/tests/upstream_test.cpp
+++ b/tests/upstream_test.cpp
@@ -3,6 +3,7 @@
 
 #include <boost/asio/post.hpp>
 #include <functional>
+#include <future>
 
 #include "peers.h"
 
@@ -10,6 +11,7 @@
 namespace {
 
 using testing::Host;
+using testing::kDeadlineMs;
 
 class UpstreamTest : public ::testing::Test {
  protected:
@@ -27,13 +29,15 @@
     next.endpoint = {1, 0};
     next.address = {boost::asio::ip::address_v4::loopback(), port};
     next.call_id = "9b1f03aa5c7e2d41";
-    next.body = "body";
+    next.body = body_;
     next.timeout = timeout;
     ended_.reset();
     upstream_.call(next);
     io_.restart();
-    while (!ended_) io_.run_one();
-    return *ended_;
+    const Time from = steady_now();
+    while (!ended_ && steady_now() - from < kDeadlineMs * Time{1000}) io_.run_one();
+    if (!ended_) ADD_FAILURE() << "the call has no end";
+    return ended_.value_or(AttemptEnded{});
   }
 
   static std::function<void(Host&)> answering(const std::string& status, const std::string& headers = "") {
@@ -65,6 +69,7 @@
   }
 
   boost::asio::io_context io_;
+  std::string body_ = "body";
   bool may_start_ = true;
   std::function<void()> at_start_ = [] {};
   bool began_ = false;
@@ -177,6 +182,119 @@
   EXPECT_TRUE(end.outcome == Outcome::kSpoilt || end.outcome == Outcome::kCancelled);
 }
 
+// Long silence, then the end of the connection: by then nobody knows any more how far the call got.
+TEST_F(UpstreamTest, AResetTwoSecondsAfterTheLastByteMayHaveRun) {
+  std::promise<void> later;
+  boost::asio::steady_timer timer(io_, std::chrono::seconds(2));
+  timer.async_wait([&](const boost::system::error_code&) { later.set_value(); });
+  const AttemptEnded end = call([&](Host& host) {
+    host.next();
+    later.get_future().wait();
+    host.reset();
+  });
+  EXPECT_EQ(end.outcome, Outcome::kReset);
+  EXPECT_GE(end.took, 1'900'000);
+  EXPECT_EQ(call(answering("200")).outcome, Outcome::kOk);
+  EXPECT_EQ(host_.connections(), 2);
+}
+
+// A host may turn a call away by its head alone. Unread until the last byte were written, a told wait would
+// not be known, and the next call would go right into it.
+TEST_F(UpstreamTest, AnAnswerThatComesBeforeTheRequestIsWhollyWrittenCounts) {
+  host_.narrow();
+  body_.assign(16 * 1024 * 1024, 'x');  // more than the system holds back for a connection
+  const AttemptEnded told = call([](Host& host) {
+    host.head();
+    host.answer("429", "Retry-After: 1.5\r\n");
+    EXPECT_TRUE(host.gone());
+  });
+  EXPECT_EQ(told.outcome, Outcome::kFull);
+  EXPECT_EQ(told.wait, 1'500'000);
+  EXPECT_TRUE(began_);
+  const AttemptEnded crowded = call([](Host& host) {
+    host.head();
+    host.answer("503", "Connection: close\r\n");
+    host.drop();  // over what it did not read: a reset follows the answer
+  });
+  EXPECT_EQ(crowded.outcome, Outcome::kFull);
+  EXPECT_TRUE(crowded.crowded);
+  const AttemptEnded delivered = call([](Host& host) {
+    host.head();
+    host.answer("200");
+    EXPECT_TRUE(host.gone());
+  });
+  EXPECT_EQ(delivered.outcome, Outcome::kOk);
+  EXPECT_EQ(host_.connections(), 3) << "the rest of a request must not stand ahead of the next one";
+}
+
+// What was not wholly written never ran, however its connection ends.
+TEST_F(UpstreamTest, ACallThatBreaksOffBeforeItsLastByteNeverRan) {
+  host_.narrow();
+  body_.assign(16 * 1024 * 1024, 'x');
+  const auto outcome = [this](const std::function<void(Host&)>& end, Time timeout = 20'000'000) {
+    return call(
+               [&](Host& host) {
+                 host.head();
+                 end(host);
+               },
+               timeout)
+        .outcome;
+  };
+  EXPECT_EQ(outcome([](Host& host) { host.reset(); }), Outcome::kConnectFailed);
+  EXPECT_EQ(outcome([](Host& host) { host.half_close(); }), Outcome::kConnectFailed);
+  EXPECT_EQ(outcome([this](Host&) { boost::asio::post(io_, [this] { upstream_.cancel(last_, 0); }); }),
+            Outcome::kConnectFailed);
+  EXPECT_EQ(outcome([](Host&) {}, 200'000), Outcome::kConnectFailed);
+  EXPECT_TRUE(began_);
+}
+
+// Given up when a part of its request is written and that is not reported yet, with a host that reads no
+// more.
+TEST_F(UpstreamTest, ACallThatIsCancelledBetweenTwoPartsOfItsRequestEnds) {
+  host_.narrow();
+  body_.assign(16 * 1024 * 1024, 'x');
+  at_start_ = [this] { boost::asio::post(io_, [this] { upstream_.cancel(last_, 0); }); };
+  EXPECT_EQ(call([](Host& host) { host.head(); }).outcome, Outcome::kConnectFailed);
+  EXPECT_TRUE(began_);
+}
+
+// While its record is being synced a call has written nothing: given up then, it goes nowhere afterwards.
+TEST_F(UpstreamTest, ACallThatIsCancelledWhileItsRecordIsSyncedNeverRan) {
+  const testing::Socket listener = testing::Socket::listen();
+  boost::asio::io_context io;
+  std::optional<AttemptEnded> end;
+  bool began = true;
+  int asked = 0;
+  Upstream syncing(
+      io, {1'000'000, 10'000'000, 16}, {},
+      [&](const Call&) {
+        ++asked;
+        return Upstream::Start::kLater;
+      },
+      [](const Endpoint&) { return true; },
+      [&](const AttemptEnded& out, bool with_record) {
+        end = out;
+        began = with_record;
+      },
+      [](const ProbeEnded&) {});
+  Call next;
+  next.id = 1;
+  next.address = {boost::asio::ip::address_v4::loopback(), listener.port()};
+  next.call_id = "9b1f03aa5c7e2d41";
+  next.timeout = 20'000'000;
+  syncing.call(next);
+  while (asked == 0) io.run_one();
+  syncing.cancel(1, 0);
+  ASSERT_TRUE(end);
+  EXPECT_EQ(end->outcome, Outcome::kConnectFailed);
+  EXPECT_FALSE(began);
+  syncing.proceed();
+  io.poll();
+  EXPECT_EQ(asked, 1);
+  testing::Socket connection = listener.accept();
+  EXPECT_TRUE(connection.ended()) << "something was written";
+}
+
 // The host drained, or its destination told another call to wait, while this one's connection came up.
 TEST_F(UpstreamTest, LooksOnceMoreBeforeTheFirstByte) {
   may_start_ = false;
