--- a/tests/clients_test.cpp
+++ b/tests/clients_test.cpp
@@ -5,6 +5,7 @@
 
 #include <boost/asio/post.hpp>
 #include <filesystem>
+#include <thread>
 
 #include "peers.h"
 
@@ -121,6 +122,40 @@
   EXPECT_TRUE(ended(client));
 }
 
+// The client reads nothing until the end has come: by then an answer stands half in the system's buffers, and
+// requests behind it. Each answer is whole, and nothing is reset.
+TEST_F(ClientsTest, AnAnswerThatIsHalfWrittenAtTheEndIsWritten) {
+  constexpr size_t kBytes = 60'000;
+  const std::string request =
+      "*2\r\n$4\r\nPING\r\n$" + std::to_string(kBytes) + "\r\n" + std::string(kBytes, 'x') + "\r\n";
+  Socket client = connect();
+  std::thread writer([&] {
+    for (int i = 0; i < 100; ++i) EXPECT_TRUE(client.send(request));  // 6 MB: more than is buffered for it
+  });
+  // Both sides stand still once the client's part of the buffers is full and then the relay's: nothing
+  // happens any more but the sweep, a few times a second.
+  for (size_t handled = 100; handled > 10;) {
+    handled = 0;
+    for (const Time from = steady_now(); steady_now() - from < 200'000;) handled += io_.poll();
+  }
+  clients_.finish();
+  size_t answers = 0;
+  std::thread reader([&] {
+    while (client.line() == "$" + std::to_string(kBytes)) {
+      EXPECT_EQ(client.exactly(kBytes), std::string(kBytes, 'x'));
+      EXPECT_EQ(client.line(), "");
+      ++answers;
+    }
+    char byte = 0;
+    EXPECT_EQ(::recv(client.fd(), &byte, 1, 0), 0) << "a reset, or bytes behind the answers";
+    writer.join();
+    client.half_close();
+  });
+  run_until_settled();
+  reader.join();
+  EXPECT_GE(answers, 1u);
+}
+
 // The bytes arrive after the relay has shut the connection: the client, which sees an end and no reset, sends
 // the request once more elsewhere. Acted on here it would be taken on twice.
 TEST_F(ClientsTest, ARequestThatCrossesTheEndIsNeitherActedOnNorReset) {
--- a/tests/durability_test.cpp
+++ b/tests/durability_test.cpp
@@ -175,5 +175,20 @@
   EXPECT_EQ(request->headers.at("x-call-id"), "00000000000000a1");
 }
 
+// Its time ends while the record of its attempt is being synced: nothing goes out when that has come, and
+// what was never sent is given back although it may not be repeated.
+TEST_F(GroupDurability, ACallWhoseTimeEndsWhileItsRecordIsSyncedNeverRan) {
+  Socket first = client();
+  first.send(put_bytes("00000000000000a1", "c=unsafe,d=1500,dest=7"));
+  ASSERT_TRUE(files_->entered(1));
+  Socket call = host_.accept();
+  files_->permit(true);
+  EXPECT_EQ(first.line(), "+OK");
+  ASSERT_TRUE(files_->entered(2));  // of the attempt's record
+  EXPECT_TRUE(call.ended()) << "something was written";
+  files_->release();
+  EXPECT_EQ(discovery_.notice().at("state"), "returned");
+}
+
 }  // namespace
 }  // namespace firspool::testing
--- a/tests/mutants/faults.cpp
+++ b/tests/mutants/faults.cpp
@@ -5,6 +5,7 @@
 #include <unistd.h>
 
 #include <chrono>
+#include <csignal>
 #include <cstdlib>
 #include <cstring>
 #include <fstream>
@@ -66,6 +67,10 @@
   return fault == name;
 }
 
+void die(const char* name) {
+  if (is(name)) ::kill(::getpid(), SIGKILL);
+}
+
 void turn() {
   using Clock = std::chrono::steady_clock;
   static const Clock::time_point begin = Clock::now();
--- a/tests/peers.cpp
+++ b/tests/peers.cpp
@@ -10,6 +10,7 @@
 
 #include <algorithm>
 #include <csignal>
+#include <ctime>
 #include <fstream>
 #include <stdexcept>
 
@@ -302,7 +303,8 @@
     }
     ::setenv("PROXY_CONFIG", config.c_str(), 1);
     ::setenv("PROXY_STATE", folder.c_str(), 1);
-    ::execl(UMBERHOIST, UMBERHOIST, nullptr);
+    if (!fault_.empty()) ::setenv("UMBERHOIST_FAULT", fault_.c_str(), 1);
+    ::execl(program_.c_str(), program_.c_str(), nullptr);
     ::_exit(127);
   }
   ::close(pipe[1]);
@@ -329,6 +331,21 @@
   });
 }
 
+void Program::start_planted(const std::string& program, const std::string& fault) {
+  const std::string healthy = std::exchange(program_, program);
+  fault_ = fault;
+  start();
+  program_ = healthy;
+  fault_.clear();
+}
+
+int64_t Program::processor_time() const {
+  clockid_t clock = 0;
+  timespec used{};
+  if (::clock_getcpuclockid(child_, &clock) != 0 || ::clock_gettime(clock, &used) != 0) return -1;
+  return int64_t{1'000'000} * used.tv_sec + used.tv_nsec / 1000;
+}
+
 void Program::signal(int number) { ::kill(child_, number); }
 
 int Program::wait() {
--- a/tests/peers.h
+++ b/tests/peers.h
@@ -127,18 +127,23 @@
   ~Program();
 
   void start(int descriptors = 0);
+  // The same with a program that a test built for it, which plays the fault of that name.
+  void start_planted(const std::string& program, const std::string& fault);
   std::string refusal(int descriptors);     // the line with which it refuses to start
   void configure(const std::string& text);  // replaces the file; it is read at a start or on SIGHUP
   void signal(int number);
   int wait();  // exit status; minus the signal that ended it
   void kill();
   pid_t pid() const { return child_; }
+  int64_t processor_time() const;  // used by it so far, in microseconds
   std::filesystem::path state() const { return folder_ / "state"; }
   Socket client() const { return Socket::connect(port_); }
 
  private:
   void launch(int descriptors);
 
+  std::string program_ = UMBERHOIST;
+  std::string fault_;
   std::filesystem::path folder_;
   pid_t child_ = -1;
   uint16_t port_ = 0;
--- a/tests/program_test.cpp
+++ b/tests/program_test.cpp
@@ -352,8 +352,8 @@
   EXPECT_EQ(id_of(s.host.next()), "00000000000000a2");
 }
 
-// The pace that refusals taught is in the folder: what was held for it does not go at once after a restart, but
-// at the even part of the told limit. Bounded from below alone, by the time since before the restart: a
+// The pace that refusals taught is in the folder: what was held for it does not go at once after a restart,
+// but at the even part of the told limit. Bounded from below alone, by the time since before the restart: a
 // machine that is busy makes it longer and never shorter.
 TEST(Program, ARestartDoesNotSendAllThatItsPaceHeldBack) {
   constexpr double kLimit = 4;  // calls a second, all of them this relay's
@@ -435,6 +435,47 @@
   }
 }
 
+// A folder as full as it may be and discovery down: a relay that is one of a fleet gets a part of a core at
+// its start, so what counts is the processor's time. A tenth of a core has to do for the 10 s that it may
+// take.
+TEST(Program, IsReadyInTimeWithAFullJournalAndDiscoveryDown) {
+  constexpr int kHeld = 400;
+  Stage s;
+  s.config["settings"]["bounds"]["open_cap"] = kHeld;
+  s.program.configure(s.config.dump());
+  {
+    const auto files = umberhoist::state::real_files(s.program.state());
+    umberhoist::state::Journal journal(*files,
+                                       {3'000'000, "n0", 6, 0, umberhoist::state::Durability::kProcess});
+    relay::Handed message;
+    message.message_class = "keyed";
+    message.key = "5c0f6e1a2b3d4c59";
+    message.destination = 7;
+    message.body.assign(4000, 'x');
+    const Time due = relay::wall_now() + 60'000'000;
+    for (int i = 0; i < kHeld; ++i) {
+      message.id = "held-" + std::to_string(i);
+      ASSERT_TRUE(journal.accepted(message, due));
+    }
+    // What is left of the room is filled with records of messages that are over.
+    message.body.assign(200, 'x');
+    for (int i = 0; i < 20'000; ++i) {
+      message.id = "over-" + std::to_string(i);
+      ASSERT_TRUE(journal.accepted(message, due));
+      journal.done(message.id);
+    }
+  }
+  size_t bytes = 0;
+  for (const auto& entry : std::filesystem::directory_iterator(s.program.state())) bytes += entry.file_size();
+  ASSERT_GE(bytes, 1'500'000u);
+  s.discovery.mute();
+  const Time from = relay::steady_now();
+  s.program.start();
+  EXPECT_LT(relay::steady_now() - from, 10'000'000);
+  EXPECT_LT(s.program.processor_time(), 1'000'000);
+  EXPECT_TRUE(id_of(s.host.next()).starts_with("held-"));
+}
+
 // The window runs from the first attempt that may have run, also where a later one is young.
 TEST(Program, RepeatsAfterARestartWhatIsWithinItsWindowAndNothingElse) {
   Stage s;
