--- a/tests/upstream_test.cpp
+++ b/tests/upstream_test.cpp
@@ -1,6 +1,8 @@
 // Outcomes of calls, against a host that the test plays.
 #include "upstream.h"
 
+#include <sys/socket.h>
+
 #include <boost/asio/post.hpp>
 #include <functional>
 #include <future>
@@ -258,6 +260,56 @@
   EXPECT_TRUE(began_);
 }
 
+// Fills a listener's queue, so that the next connection comes up only once that is emptied: the system tries
+// again after a second.
+class FullQueue {
+ public:
+  FullQueue() {
+    ::listen(listener.fd(), 0);
+    first_ = testing::Socket::connect(listener.port());
+  }
+  testing::Socket listener = testing::Socket::listen();
+
+ private:
+  testing::Socket first_;
+};
+
+TEST_F(UpstreamTest, AConnectionThatComesUpLateIsUsed) {
+  FullQueue queue;
+  boost::asio::io_context io;
+  std::optional<AttemptEnded> end;
+  Upstream patient(
+      io, {10'000'000, 10'000'000, 16}, {}, [](const Call&) { return Upstream::Start::kYes; },
+      [](const Endpoint&) { return true; }, [&](const AttemptEnded& out, bool) { end = out; },
+      [](const ProbeEnded&) {});
+  Call next;
+  next.id = 1;
+  next.address = {boost::asio::ip::address_v4::loopback(), queue.listener.port()};
+  next.call_id = "9b1f03aa5c7e2d41";
+  next.timeout = 20'000'000;
+  patient.call(next);
+  while (io.poll() > 0) continue;
+  std::thread host([&] {
+    const testing::Socket other = queue.listener.accept();
+    testing::Socket late = queue.listener.accept();
+    EXPECT_TRUE(testing::read_request(late).has_value());
+    EXPECT_TRUE(late.send("HTTP/1.1 200 x\r\nContent-Length: 0\r\n\r\n"));
+  });
+  while (!end) io.run_one();
+  host.join();
+  EXPECT_EQ(end->outcome, Outcome::kOk);
+  EXPECT_GE(end->took, 500'000) << "its connection was up at once";
+}
+
+// Nothing of it is ever written, also where the connection comes up after all.
+TEST_F(UpstreamTest, ACallThatIsCancelledWhileItConnectsNeverRan) {
+  FullQueue queue;
+  boost::asio::post(io_, [this] { boost::asio::post(io_, [this] { upstream_.cancel(last_, 0); }); });
+  EXPECT_EQ(call_to(queue.listener.port(), 20'000'000).outcome, Outcome::kConnectFailed);
+  EXPECT_FALSE(began_);
+  EXPECT_LT(ended_->took, 900'000) << "its time to connect ended it";
+}
+
 // While its record is being synced a call has written nothing: given up then, it goes nowhere afterwards.
 TEST_F(UpstreamTest, ACallThatIsCancelledWhileItsRecordIsSyncedNeverRan) {
   const testing::Socket listener = testing::Socket::listen();
--- a/tests/watch_test.cpp
+++ b/tests/watch_test.cpp
@@ -146,6 +146,27 @@
   EXPECT_LT(took, 2'000'000);
 }
 
+// Down for as long as the operators' longest spell: asked in vain many times, it answers what it finds when
+// it is back, whose list holds what it got meanwhile.
+TEST_F(WatchTest, AnAgentThatReturnsAfterEightSecondsIsHeardSoon) {
+  constexpr Time kDown = 8'000'000;
+  Time back = 0;
+  run(
+      [&] {
+        const Time from = steady_now();
+        std::vector<Socket> open;
+        open.push_back(take(kHead + chunk(list_text(1))));
+        while (steady_now() - from < kDown) open.push_back(take(""));
+        back = steady_now();
+        // Of those that are still open the newest is the one that waits for a word.
+        EXPECT_TRUE(open.back().send(kHead + chunk(list_text(2))));
+        pollfd next{listener_.fd(), POLLIN, 0};
+        if (::poll(&next, 1, 1000) > 0) open.push_back(take(kHead + chunk(list_text(2))));
+      },
+      2);
+  EXPECT_LT(steady_now() - back, 2'500'000);
+}
+
 // A notice that got no answer is on its way a second time before it is late. The best of some tries, as this
 // machine may stand still for a moment.
 TEST(NoticesTest, AnAgentThatSaysNothingOnceMakesNoNoticeLate) {
