Tests of calls are set up in one place; a time that cannot be read fails its test

The set-up of a call stood four times in upstream_test.cpp; a processor time that could not be read (-1) would have passed its bound; a listener's error was ignored; a comment called a folder full that is held to half.

--- a/tests/program_test.cpp
+++ b/tests/program_test.cpp
@@ -435,9 +435,9 @@
   }
 }
 
-// A folder as full as it may be and discovery down: a relay that is one of a fleet gets a part of a core at
-// its start, so what counts is the processor's time. A tenth of a core has to do for the 10 s that it may
-// take.
+// A folder that is at least half full, with as many messages as may be held, and discovery down: a relay that
+// is one of a fleet gets a part of a core at its start, so what counts is the processor's time. A tenth of a
+// core has to do for the 10 s that it may take.
 TEST(Program, IsReadyInTimeWithAFullJournalAndDiscoveryDown) {
   constexpr int kHeld = 400;
   Stage s;
@@ -472,7 +472,9 @@
   const Time from = relay::steady_now();
   s.program.start();
   EXPECT_LT(relay::steady_now() - from, 10'000'000);
-  EXPECT_LT(s.program.processor_time(), 1'000'000);
+  const int64_t used = s.program.processor_time();
+  EXPECT_GT(used, 0) << "not measured";
+  EXPECT_LT(used, 1'000'000);
   EXPECT_TRUE(id_of(s.host.next()).starts_with("held-"));
 }
 
--- a/tests/upstream_test.cpp
+++ b/tests/upstream_test.cpp
@@ -25,7 +25,7 @@
     return out;
   }
 
-  AttemptEnded call_to(uint16_t port, Time timeout) {
+  Call next_call(uint16_t port, Time timeout = 20'000'000) {
     Call next;
     next.id = ++last_;
     next.endpoint = {1, 0};
@@ -33,8 +33,12 @@
     next.call_id = "9b1f03aa5c7e2d41";
     next.body = body_;
     next.timeout = timeout;
+    return next;
+  }
+
+  AttemptEnded call_to(uint16_t port, Time timeout) {
     ended_.reset();
-    upstream_.call(next);
+    upstream_.call(next_call(port, timeout));
     io_.restart();
     const Time from = steady_now();
     while (!ended_ && steady_now() - from < kDeadlineMs * Time{1000}) io_.run_one();
@@ -57,11 +61,7 @@
         io, {connect_timeout, 10'000'000, 16}, {}, [](const Call&) { return Upstream::Start::kYes; },
         [](const Endpoint&) { return true; }, [&](const AttemptEnded& out, bool) { end = out; },
         [](const ProbeEnded&) {});
-    Call next;
-    next.address = {boost::asio::ip::address_v4::loopback(), host_.port()};
-    next.call_id = "9b1f03aa5c7e2d41";
-    next.timeout = 20'000'000;
-    late.call(next);  // the kernel connects at once
+    late.call(next_call(host_.port()));  // the kernel connects at once
     const Time until = steady_now() + connect_timeout + 5000;
     while (steady_now() < until) continue;
     std::thread host([&] { part(host_); });
@@ -265,7 +265,7 @@
 class FullQueue {
  public:
   FullQueue() {
-    ::listen(listener.fd(), 0);
+    if (::listen(listener.fd(), 0) != 0) throw std::runtime_error("the queue stays as it was");
     first_ = testing::Socket::connect(listener.port());
   }
   testing::Socket listener = testing::Socket::listen();
@@ -282,12 +282,7 @@
       io, {10'000'000, 10'000'000, 16}, {}, [](const Call&) { return Upstream::Start::kYes; },
       [](const Endpoint&) { return true; }, [&](const AttemptEnded& out, bool) { end = out; },
       [](const ProbeEnded&) {});
-  Call next;
-  next.id = 1;
-  next.address = {boost::asio::ip::address_v4::loopback(), queue.listener.port()};
-  next.call_id = "9b1f03aa5c7e2d41";
-  next.timeout = 20'000'000;
-  patient.call(next);
+  patient.call(next_call(queue.listener.port()));
   while (io.poll() > 0) continue;
   std::thread host([&] {
     const testing::Socket other = queue.listener.accept();
@@ -329,14 +324,9 @@
         began = with_record;
       },
       [](const ProbeEnded&) {});
-  Call next;
-  next.id = 1;
-  next.address = {boost::asio::ip::address_v4::loopback(), listener.port()};
-  next.call_id = "9b1f03aa5c7e2d41";
-  next.timeout = 20'000'000;
-  syncing.call(next);
+  syncing.call(next_call(listener.port()));
   while (asked == 0) io.run_one();
-  syncing.cancel(1, 0);
+  syncing.cancel(last_, 0);
   ASSERT_TRUE(end);
   EXPECT_EQ(end->outcome, Outcome::kConnectFailed);
   EXPECT_FALSE(began);
