--- a/emulator/days.cpp
+++ b/emulator/days.cpp
@@ -164,6 +164,41 @@
   return model;
 }
 
+FleetModel random_return_model(int relays, uint64_t seed, const ReturnVariant& variant) {
+  FleetModel model = random_outage_model(relays, seed);
+  std::mt19937_64 random(seed * 104729 + static_cast<uint64_t>(relays));
+  const auto time = [&random](double low, double high) {
+    return static_cast<Time>(std::uniform_real_distribution<double>(low, high)(random) * 1e6);
+  };
+  const auto within = [&random](double low, double high) {
+    return std::uniform_real_distribution<double>(low, high)(random);
+  };
+  model.duration = 65 * kSecond;
+  model.mass_restart = {};
+  model.settings.classes[0].effect = variant.effect;
+  DestinationModel& d = model.destinations.front();
+  d.down_from = 33 * kSecond;
+  d.down_to = 42 * kSecond;
+  d.outage_kind = variant.outage_kind;
+  d.outage_retry_after_share = variant.outage_retry_after_share;
+  if (variant.traffic_grows) {
+    const Time at = time(33, 42);
+    model.changes.push_back({at, &DestinationModel::load, d.load * within(1.5, 3)});
+  }
+  if (variant.restart != ReturnVariant::Restart::kNone) {
+    const bool before = variant.restart == ReturnVariant::Restart::kBeforeOutage;
+    model.mass_restart.share = within(0.3, 1);
+    model.mass_restart.killed_at = before ? d.down_from - time(0.5, 7) : time(34, 41.5);
+    model.mass_restart.downtime = time(0, 0.3);
+  }
+  if (variant.errors_before) {
+    d.failing_from = d.down_from - time(2, 12);
+    d.failing_to = d.down_from;
+    d.failing_share = within(0.37, 1);
+  }
+  return model;
+}
+
 FleetModel day_model(const std::string& name, int relays, uint64_t seed) {
   if (relays < 1) throw std::invalid_argument("relays is " + std::to_string(relays) + "; expected 1 or more");
   const auto day = std::find_if(day_scenarios().begin(), day_scenarios().end(),
--- a/emulator/days.h
+++ b/emulator/days.h
@@ -29,6 +29,22 @@
 // restarted around its end. Throws std::invalid_argument if `relays` is less than 1.
 FleetModel random_outage_model(int relays, uint64_t seed);
 
+// What distinguishes a random return from the plain one, in which a destination refuses connections from 33
+// to 42 s and nothing else happens.
+struct ReturnVariant {
+  enum class Restart { kNone, kBeforeOutage, kDuringOutage };  // of 30 to 100% of the relays
+  bool traffic_grows = false;  // to 1.5 to 3 times from a random moment of the outage
+  Restart restart = Restart::kNone;
+  bool errors_before = false;  // calls fail for 2 to 12 s before the outage
+  OutageKind outage_kind = OutageKind::kConnectionsRefused;
+  double outage_retry_after_share = 0;
+  firspool::Effect effect = firspool::Effect::kSafe;
+};
+
+// A random scenario, determined by the seed: the destination of random_outage_model with an outage of 9 s.
+// Throws std::invalid_argument if `relays` is less than 1.
+FleetModel random_return_model(int relays, uint64_t seed, const ReturnVariant& variant);
+
 // Bounds on the share of messages delivered in time. Upper bound: the true state of all destinations is known
 // at once, all messages are held in one place and sent when their destination has capacity, those that can
 // still be in time first; no relay, no refusal and no loss with a relay. Lower bound: each message is tried
--- a/emulator/fleet.cpp
+++ b/emulator/fleet.cpp
@@ -59,6 +59,7 @@
   int attempt = 0;
   Time sent = 0;
   bool new_connection = false;
+  bool unanswered = false;  // received during a hang
 };
 
 DestinationCounts& DestinationCounts::operator+=(const DestinationCounts& other) {
@@ -75,11 +76,13 @@
   connection_limit_refusals += other.connection_limit_refusals;
   other_refusals += other.other_refusals;
   connect_failures += other.connect_failures;
+  unanswered += other.unanswered;
   probes += other.probes;
   max_slow_start_load = std::max(max_slow_start_load, other.max_slow_start_load);
   max_slow_start_load_informed = std::max(max_slow_start_load_informed, other.max_slow_start_load_informed);
   overloads += other.overloads;
   overloads_informed += other.overloads_informed;
+  slow_start_violations += other.slow_start_violations;
   max_overload_excess = std::max(max_overload_excess, other.max_overload_excess);
   return *this;
 }
@@ -127,19 +130,22 @@
     counts_[d.number] = {};
     for (const Endpoint& endpoint : d.hosts) hosts_[endpoint].destination = d.number;
     if (d.load > 0) schedule(0, [this, &d] { submit(d); });
-    if (d.down_to > d.down_from) {
+    if (d.down_to > d.down_from && d.outage_kind == OutageKind::kConnectionsRefused) {
       // Resets the calls in flight at the destination.
       schedule(d.down_from, [this, &d] {
         std::vector<uint64_t> lost;
         for (const auto& [number, call] : calls_) {
           if (hosts_.at(call.send.endpoint).destination == d.number) lost.push_back(number);
         }
+        std::set<size_t> informed_relays;
+        for (const uint64_t number : lost) informed_relays.insert(calls_.at(number).relay->number);
         for (const uint64_t number : lost) end_call(number, Outcome::kReset, 0, false, false);
         for (const Endpoint& endpoint : d.hosts) {
           hosts_.at(endpoint) = {};
           hosts_.at(endpoint).destination = d.number;
           for (const auto& relay : relays_) relay->idle_connections.erase(endpoint);
         }
+        hosts_.at(d.hosts.front()).informed_relays = std::move(informed_relays);
       });
     }
   }
@@ -348,7 +354,7 @@
     const Endpoint endpoint = probe->endpoint;
     ++counts_[d.number].probes;
     const uint64_t process = relay.process;
-    const bool up = now_ < d.down_from || now_ >= d.down_to;
+    const bool up = !is_out(d, now_);
     if (!up) hosts_.at(d.hosts.front()).informed_relays.insert(relay.number);
     schedule(now_ + 4 * model_.one_way_latency, [this, &relay, endpoint, process, up] {
       if (relay.process == process)
@@ -400,6 +406,26 @@
   schedule(now_ + send.timeout, [this, number] { end_call(number, Outcome::kTimeout, 0, false, false); });
 }
 
+bool FleetEmulator::is_out(const DestinationModel& d, Time at) { return at >= d.down_from && at < d.down_to; }
+
+void FleetEmulator::receive_call_during_outage(uint64_t number, const DestinationModel& d) {
+  Call& call = calls_.at(number);
+  DestinationCounts& counts = counts_[d.number];
+  if (d.outage_kind == OutageKind::kHang) {
+    ++counts.unanswered;
+    call.unanswered = true;
+    return;
+  }
+  hosts_.at(d.hosts.front()).informed_relays.insert(call.relay->number);
+  if (d.outage_kind == OutageKind::kConnectionsRefused) {
+    ++counts.connect_failures;
+    return end_call(number, Outcome::kConnectFailed, 0, false, false);
+  }
+  ++counts.other_refusals;
+  const bool tells_wait = d.outage_retry_after_share > 0 && random_fraction() < d.outage_retry_after_share;
+  end_call(number, Outcome::kRefused, tells_wait ? std::max<Time>(d.down_to - now_, 1) : 0, false, true);
+}
+
 // The last byte of a call reaches its host.
 void FleetEmulator::receive_call(uint64_t number) {
   const auto it = calls_.find(number);
@@ -408,11 +434,7 @@
   Host& host = hosts_.at(call.send.endpoint);
   const DestinationModel& d = destination(hosts_.at(call.send.endpoint).destination);
   DestinationCounts& counts = counts_[d.number];
-  if (now_ >= d.down_from && now_ < d.down_to) {
-    ++counts.connect_failures;
-    hosts_.at(d.hosts.front()).informed_relays.insert(call.relay->number);
-    return end_call(number, Outcome::kConnectFailed, 0, false, false);
-  }
+  if (is_out(d, now_)) return receive_call_during_outage(number, d);
   if (now_ >= d.unresponsive_from && now_ < d.unresponsive_to) return;  // no answer
   ++counts.calls;
   Host& first = hosts_.at(d.hosts.front());
@@ -453,8 +475,15 @@
     if (served.serving == 0) return;  // it went down in the meantime
     --served.serving;
     const DestinationModel& model = destination(served.destination);
-    const bool silent = now_ >= model.unresponsive_from && now_ < model.unresponsive_to;
+    const bool silent = (now_ >= model.unresponsive_from && now_ < model.unresponsive_to) ||
+                        (model.outage_kind == OutageKind::kHang && is_out(model, now_));
+    const bool failing =
+        now_ >= model.failing_from && now_ < model.failing_to && random_fraction() < model.failing_share;
     const bool reset = model.reset_share > 0 && random_fraction() < model.reset_share;
+    if (failing && !silent && calls_.contains(number)) {
+      hosts_.at(model.hosts.front()).informed_relays.insert(calls_.at(number).relay->number);
+      end_call(number, Outcome::kError, 0, false, true);
+    }
     if (calls_.contains(number) && !silent) {
       end_call(number, reset ? Outcome::kReset : Outcome::kOk, 0, false, !reset);
     }
@@ -498,6 +527,8 @@
       return;
     }
     if (keep_connection) relay.idle_connections[endpoint].push_back(now_);
+    const DestinationModel& d = destination(hosts_.at(endpoint).destination);
+    if (call.unanswered && now_ < d.down_to) hosts_.at(d.hosts.front()).informed_relays.insert(relay.number);
     AttemptEnded end;
     end.id = call.send.id;
     end.attempt = call.attempt;
@@ -543,6 +574,7 @@
   double sent_by_informed = 0;
   bool overloaded = false;
   bool overloaded_by_informed = false;
+  bool violated = false;
   for (size_t i = 0; i < host.received_calls.size() && host.received_calls[i].at <= d.down_to + s.slow_start;
        ++i) {
     const Time from = host.received_calls[i].at - s.overload_window;
@@ -555,22 +587,26 @@
     const Time begins = std::max(from, d.down_to);
     const double budget =
         s.overload_factor * (capacity_until(begins + s.overload_window) - capacity_until(begins));
+    const bool by_informed = 3 * sent_by_informed >= 2 * sent;
     if (sent > budget + 2 * std::sqrt(budget) + 2) {
       overloaded = true;
-      overloaded_by_informed = overloaded_by_informed || 3 * sent_by_informed >= 2 * sent;
+      overloaded_by_informed = overloaded_by_informed || by_informed;
     }
-    if (3 * sent_by_informed >= 2 * sent) {
+    const double roots = budget < 30 ? 3 : 2;
+    violated = violated || (by_informed && sent > budget + roots * std::sqrt(budget) + roots);
+    if (by_informed) {
       counts.max_overload_excess = std::max(counts.max_overload_excess, (sent - budget) / std::sqrt(budget));
     }
     if (from < d.down_to) continue;
     const double load =
         sent / std::max(1e-9, capacity_until(host.received_calls[i].at) - capacity_until(from));
     counts.max_slow_start_load = std::max(counts.max_slow_start_load, load);
-    if (3 * sent_by_informed >= 2 * sent)
+    if (by_informed)
       counts.max_slow_start_load_informed = std::max(counts.max_slow_start_load_informed, load);
   }
   counts.overloads += overloaded;
   counts.overloads_informed += overloaded_by_informed;
+  counts.slow_start_violations += violated;
 }
 
 }  // namespace umberhoist::emulator
--- a/emulator/fleet.h
+++ b/emulator/fleet.h
@@ -24,6 +24,13 @@
 
 constexpr Time kSecond = 1'000'000;
 
+// What happens to calls during an outage.
+enum class OutageKind {
+  kConnectionsRefused,
+  kCallsRefused,  // each call is refused without being executed
+  kHang,          // calls are received and never answered
+};
+
 struct DestinationModel {
   int number = 0;
   int kind = 0;
@@ -39,9 +46,13 @@
   bool refused_calls_count = false;  // whether refused calls use up the limit too
   double retry_after_share = 0;      // share of these refusals that ask for a wait
   Time retry_after = 0;              // the wait that they ask for
-  Time down_from = 0;                // connections are refused from this time
-  // From this time it accepts connections again, in slow start.
-  Time down_to = 0;
+  Time down_from = 0;                // the outage begins
+  Time down_to = 0;                  // it serves again from this time, in slow start
+  OutageKind outage_kind = OutageKind::kConnectionsRefused;
+  double outage_retry_after_share = 0;  // kCallsRefused: share of the refusals that tell when the outage ends
+  Time failing_from = 0;                // in this interval some calls are answered with an error
+  Time failing_to = 0;
+  double failing_share = 0;  // share of the calls that end so
   // In this interval nothing is answered: calls received before it are executed, but their answers are lost.
   Time unresponsive_from = 0;
   Time unresponsive_to = 0;
@@ -97,6 +108,7 @@
   int64_t connection_limit_refusals = 0;  // refused because the host's connection limit was reached
   int64_t other_refusals = 0;             // refused for another reason
   int64_t connect_failures = 0;           // calls to a host that was down
+  int64_t unanswered = 0;                 // calls to a host that hung
   int64_t probes = 0;
   // Maximum load within an overload window of a recovering destination, as a multiple of its capacity at that
   // time.
@@ -108,6 +120,9 @@
   // relays that had seen it fail sent at least two thirds of the load.
   int64_t overloads = 0;
   int64_t overloads_informed = 0;
+  // Recoveries that violate the terms of service: the same as overloads_informed, with a tolerance of
+  // 3 * sqrt(N) + 3 calls where N is less than 30.
+  int64_t slow_start_violations = 0;
   // Maximum of (load - N) / sqrt(N) over the windows in which those relays sent two thirds of the load.
   double max_overload_excess = 0;
 
@@ -160,10 +175,12 @@
   void execute(Relay& relay, const firspool::Action& action);
   void start_call(Relay& relay, const firspool::Send& send);
   void receive_call(uint64_t call);
+  void receive_call_during_outage(uint64_t call, const DestinationModel& destination);
   void start_service(Host& host, uint64_t call);
   void end_call(uint64_t call, firspool::Outcome outcome, Time wait, bool connection_limit_reached,
                 bool keep_connection);
   void close_idle_connections(Relay& relay, const Endpoint& endpoint);
+  static bool is_out(const DestinationModel& destination, Time at);
   void evaluate_slow_start(const DestinationModel& destination);
 
   FleetModel model_;
--- a/tests/emulator/cold_test.cpp
+++ b/tests/emulator/cold_test.cpp
@@ -56,6 +56,51 @@
   EXPECT_EQ(run_scenario(30, 268).overloads_informed, 0);
 }
 
+int64_t violations_of_return(int relays, uint64_t seed, const ReturnVariant& variant) {
+  FleetEmulator fleet(random_return_model(relays, seed, variant));
+  fleet.run();
+  return fleet.total().slow_start_violations;
+}
+
+// Random returns that relays of larger fleets pushed over together.
+TEST(ColdBudgetOf, ALargeFleetIsKeptAfterAnOutageThatItsRelaysLearnOfOneByOne) {
+  EXPECT_EQ(violations_of_return(46, 2790, {}), 0);
+  EXPECT_EQ(violations_of_return(100, 46, {}), 0);
+  for (const uint64_t seed : {4, 26, 60})
+    EXPECT_EQ(violations_of_return(300, seed, {}), 0) << "seed " << seed;
+  const ReturnVariant growing = {.traffic_grows = true};
+  EXPECT_EQ(violations_of_return(46, 1614, growing), 0);
+  EXPECT_EQ(violations_of_return(100, 37, growing), 0);
+  EXPECT_EQ(violations_of_return(300, 4, growing), 0);
+  EXPECT_EQ(violations_of_return(300, 88, {.outage_kind = OutageKind::kHang}), 0);
+  const ReturnVariant refusing = {.outage_kind = OutageKind::kCallsRefused};
+  EXPECT_EQ(violations_of_return(100, 18, refusing), 0);
+  for (const uint64_t seed : {7, 22})
+    EXPECT_EQ(violations_of_return(300, seed, refusing), 0) << "seed " << seed;
+}
+
+// Each kind of outage, and what may come beside it.
+TEST(ColdBudgetOf, ALargeFleetIsKeptInEachVariantOfAReturn) {
+  using Restart = ReturnVariant::Restart;
+  using firspool::Effect;
+  const std::vector<ReturnVariant> variants = {
+      {},
+      {.traffic_grows = true},
+      {.restart = Restart::kBeforeOutage},
+      {.restart = Restart::kDuringOutage},
+      {.traffic_grows = true, .errors_before = true},
+      {.outage_kind = OutageKind::kHang},
+      {.traffic_grows = true, .outage_kind = OutageKind::kHang, .effect = Effect::kUnsafe},
+      {.outage_kind = OutageKind::kCallsRefused},
+      {.outage_kind = OutageKind::kCallsRefused, .outage_retry_after_share = 0.5},
+  };
+  for (size_t i = 0; i < variants.size(); ++i) {
+    for (uint64_t seed = 1; seed <= std::max<uint64_t>(1, run_count() / 6); ++seed) {
+      EXPECT_EQ(violations_of_return(46, seed, variants[i]), 0) << "variant " << i << " seed " << seed;
+    }
+  }
+}
+
 INSTANTIATE_TEST_SUITE_P(Relays, ColdBudget, ::testing::Values(3, 20, 30),
                          [](const auto& parameter) { return std::to_string(parameter.param); });
 
