Policy: what informed relays send is planned by what the rule counts, not by open circuits

All processes share one budget, and each reckoned its part from its own state where the rule counts what relays saw: - informed_share() took the outage to have begun when this relay opened its own circuit. A restart forgot the failed call.

Change: the outage is taken to have begun half way between the last served and the first unserved call; src/overload_budget.h plans for the stated tolerance, and for informed relays either two thirds of it, or what relays that know nothing (twice as many calls as before) leave, or half of what those send; a route whose call failed 0.8 s ago (refusals alone: 2.5 s) with nothing served since is on probation: paced like trial calls, in slow start once served, kept in the folder (failing_since). With the budget held, trial calls may come at 0.9 of the rate before (0.5). The end of a slow start ends the streak that began it. Log: probation, and the figures that trial calls are derived from.

The test of idle connections stepped 5 s past the timer of a retry; it now steps at each 10 ms, as the timers ask. Its check is as before.

--- a/include/firspool/policy.h
+++ b/include/firspool/policy.h
@@ -201,6 +201,7 @@
   Time recovery_start = 0;   // 0: not yet recovering
   double baseline_rate = 0;  // calls a second of this relay that were served before the outage
   double pacing_rate = 0;    // upper bound on this relay's calls a second, rounded down; 0: never refused
+  Time failing_since = 0;    // no outage yet, but since then calls failed and none was served; 0: none
   bool operator==(const DestinationState&) const = default;
 };
 
--- a/relay/relay.cpp
+++ b/relay/relay.cpp
@@ -146,7 +146,8 @@
     if (name.starts_with(kDestinationPrefix)) {
       states.push_back({std::stoi(name.substr(kDestinationPrefix.size())), saved.at("tokens").get<int>(),
                         steady(saved.at("out_since").get<Time>()), steady(saved.at("back_since").get<Time>()),
-                        saved.at("base").get<double>(), saved.value("pace", 0.0)});
+                        saved.at("base").get<double>(), saved.value("pace", 0.0),
+                        steady(saved.value("failing_since", Time{0}))});
     }
   }
   list.hosts =
@@ -163,7 +164,8 @@
                                 {"out_since", wall(state.outage_start)},
                                 {"back_since", wall(state.recovery_start)},
                                 {"base", state.baseline_rate},
-                                {"pace", state.pacing_rate}};
+                                {"pace", state.pacing_rate},
+                                {"failing_since", wall(state.failing_since)}};
   journal_.put_metadata(kDestinationPrefix + std::to_string(state.destination), saved.dump());
 }
 
--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -10,6 +10,7 @@
 #include <set>
 #include <stdexcept>
 
+#include "overload_budget.h"
 #include "policy_parts.h"
 
 namespace firspool {
@@ -156,7 +157,7 @@
     Destination& destination = destinations_[e.destination];
     destination.retry_tokens = std::clamp(e.retry_tokens, 0, kRetryBucketCapacity);
     destination.saved_state = e;
-    if (e.outage_start == 0 && e.pacing_rate <= 0) return;
+    if (e.outage_start == 0 && e.pacing_rate <= 0 && e.failing_since == 0) return;
     const RouteKey key = {e.destination, Endpoint{}};
     Route& route = routes_[key];
     route.key = key;
@@ -168,10 +169,17 @@
           std::max(e.pacing_rate, route.rate_limit / settings_.relays);
       route.pacing_bucket = {0.5 - seconds(random_.between(0, kSecond)), now_};
     }
-    if (e.outage_start == 0) return;
-    route.outage_start = e.outage_start;
-    route.recovery_start = e.recovery_start;
+    if (e.outage_start == 0 && e.failing_since == 0) return;
     route.baseline_rate = e.baseline_rate;
+    if (e.outage_start == 0) {
+      route.unserved_streak = route.failures_in_streak = 1;
+      route.streak_start = route.estimated_outage_start = e.failing_since;
+      route.outage_bucket = {seconds(random_.between(0, kSecond)), now_};
+      route.probation_enforced = true;
+      return monitor(route);
+    }
+    route.outage_start = route.estimated_outage_start = e.outage_start;
+    route.recovery_start = e.recovery_start;
     route.outage_bucket = {0, now_};
     monitor(route);
   }
@@ -425,6 +433,7 @@
   void on_served(const Attempt& attempt, Route& route) {
     route.served_rate.add(now_);
     route.last_served_sent = std::max(route.last_served_sent, attempt.sent);
+    if (attempt.on_probation) open_circuit_in_retrospect(route);
     route.unserved_streak = route.failures_in_streak = 0;
     route.streak_endpoints.clear();
     route.probe_ok = false;
@@ -449,7 +458,7 @@
     // If a call sent later was served, this call was lost or its endpoint is bad, but the destination is up.
     // Failures are expected of a host that is being removed.
     if (attempt.sent < route.last_served_sent || !hosts_[attempt.endpoint].ready) return;
-    if (route.unserved_streak++ == 0) route.streak_start = attempt.sent;
+    if (route.unserved_streak++ == 0) begin_streak(attempt.sent, route);
     route.streak_endpoints.insert(attempt.endpoint);
     if (failed) {
       ++route.failures_in_streak;
@@ -471,6 +480,23 @@
     }
   }
 
+  // A relay that rarely calls learns of an outage late: it began at some time between the last call that was
+  // served and the first one that was not.
+  Time estimate_outage_start(const Route& route, Time first_unserved) const {
+    const Time last_served = std::min(first_unserved, std::max(route.served_rate.at, first_step_));
+    return last_served + (first_unserved - last_served) / 2;
+  }
+
+  // The first token is for the retry that tells a lost call from an outage.
+  void begin_streak(Time sent, Route& route) {
+    route.streak_start = sent;
+    if (route.outage_start != 0) return;
+    route.baseline_rate = estimated_rate(route);
+    route.estimated_outage_start = estimate_outage_start(route, sent);
+    route.outage_bucket = {1, now_};
+    route.probation_enforced = false;
+  }
+
   // A host that is being removed refuses and fails calls before the list says so. If all unserved calls of
   // the streak went to such hosts, they are no evidence of an outage or of a limit: both are discarded.
   void discount_endpoint(Route& route, const Endpoint& endpoint) {
@@ -488,8 +514,20 @@
     actions_->push_back(Log{"destination " + std::to_string(route.key.first) + ": " + what});
   }
 
+  static std::string per_minute(double rate) { return std::to_string(std::lround(60 * rate)) + " a minute"; }
+
+  // What the calls of this relay during an outage and its slow start are derived from.
+  std::string describe_rates(const Route& route) const {
+    return "served before: " + per_minute(route.baseline_rate) + "; the outage began about " +
+           std::to_string((now_ - route.estimated_outage_start) / kMs) +
+           " ms ago; trial calls: " + per_minute(trial_rate(route)) + " at " +
+           std::to_string(std::lround(100 * informed_share(route))) + "% of the relays informed";
+  }
+
   void open_circuit(Route& route, const char* evidence, bool suspected) {
     route.baseline_rate = estimated_rate(route);
+    route.estimated_outage_start =
+        estimate_outage_start(route, route.unserved_streak > 0 ? route.streak_start : now_);
     route.outage_start = now_;
     route.recovery_start = 0;
     route.outage_is_shared = false;
@@ -497,8 +535,19 @@
     route.suspect_calls.clear();
     route.outage_bucket = {seconds(random_.between(0, kSecond)), now_};
     route.probe_ok = false;
-    log(route, std::string("outage, ") + evidence +
-                   "; served before: " + std::to_string(std::lround(60 * route.baseline_rate)) + " a minute");
+    log(route, std::string("outage, ") + evidence + "; " + describe_rates(route));
+  }
+
+  // A call on probation was served. There may have been an outage since the streak began, and this relay
+  // counts as having seen it: it takes part in the slow start.
+  void open_circuit_in_retrospect(Route& route) {
+    if (!on_probation(route)) return;
+    monitor(route);
+    route.outage_start = route.streak_start;
+    route.recovery_start = 0;
+    route.outage_is_shared = route.suspected = false;
+    route.outage_bucket = {0, now_};
+    log(route, "outage, as nothing was served since a call failed; " + describe_rates(route));
   }
 
   // A hang produces no outcomes: overdue calls, with nothing served since they were sent, are evidence of an
@@ -528,9 +577,12 @@
         if (route.recovery_start != 0 && now_ - route.recovery_start >= settings_.slow_start) {
           log(route, "warm");
           route.outage_start = 0;
+          route.unserved_streak = route.failures_in_streak = 0;
+          route.streak_endpoints.clear();
         }
         continue;
       }
+      if (route.unserved_streak > 0) schedule_probation(route);
       const Time span = now_ - route.streak_start;
       const bool rare_caller = is_rare_caller(route);
       const bool failing = route.unserved_streak >= (rare_caller ? kRareCallerOutageStreak : kOutageStreak) &&
@@ -620,6 +672,9 @@
         next.outage_start = entry->second.outage_start;
         next.recovery_start = entry->second.recovery_start;
         next.baseline_rate = entry->second.baseline_rate;
+      } else if (entry != routes_.end() && entry->second.probation_enforced && on_probation(entry->second)) {
+        next.failing_since = entry->second.streak_start;
+        next.baseline_rate = entry->second.baseline_rate;
       }
       if (next == destination.saved_state) continue;
       destination.saved_state = next;
@@ -627,12 +682,14 @@
     }
   }
 
-  // Share of the relays that got a message for the route during the outage, and so know of it.
+  // Share of the relays that got a message for the route during the outage, and so know of it. A relay that
+  // rarely calls learns of an outage late: the outage is taken to have begun with the last call that was
+  // served.
   double informed_share(const Route& route) const {
     if (route.outage_is_shared) return 1;
     const Time end = route.recovery_start == 0 ? now_ : route.recovery_start;
-    return std::max(1e-3, 1 - std::exp(-std::max(kMinInformedSeconds, seconds(end - route.outage_start)) *
-                                       route.baseline_rate));
+    const double lasted = std::max(kMinInformedSeconds, seconds(end - route.estimated_outage_start));
+    return std::max(1e-3, 1 - std::exp(-lasted * route.baseline_rate));
   }
 
   // This relay's share of the load that a destination in slow start takes, after subtracting the first calls
@@ -648,17 +705,19 @@
   }
 
   // Upper bound on the rate of trial calls of all relays together. Once the destination is back, trial calls
-  // count as load, so within one overload window they have to stay under the budget at the start of the
-  // recovery plus the tolerated random excess: with few relays holding a token each, in all cases; with many,
-  // by four standard deviations of a nearly Poisson-distributed count.
+  // count as load, so within one overload window they have to stay under the limit for informed relays at the
+  // start of the recovery: with few relays holding a token each, in all cases; with many, by four standard
+  // deviations.
   double max_trial_rate(const Route& route) const {
     const double window = seconds(settings_.overload_window);
     if (window <= 0) return std::numeric_limits<double>::infinity();
-    const double budget = settings_.overload_factor * settings_.start_capacity * route.baseline_rate *
-                          settings_.relays * window;
-    const double allowed = budget + kOverloadToleranceRoots * std::sqrt(budget) + kOverloadToleranceCalls;
-    const double root = std::sqrt(4 + allowed) - 2;
-    return std::max(root * root, allowed - settings_.relays) / window;
+    const double calls_before = route.baseline_rate * settings_.relays * window;
+    const double budget = settings_.overload_factor * settings_.start_capacity * calls_before;
+    const double uninformed = (1 - informed_share(route)) * calls_before;
+    const double limit = informed_calls_limit(budget, kUninformedGrowth * uninformed);
+    const double calls =
+        std::max({largest_safe_mean(limit), limit - settings_.relays, kMinorityShare * uninformed});
+    return calls / window;
   }
 
   // This relay's share of the fleet's trial calls. The relays that hold messages for the route share them.
@@ -670,6 +729,32 @@
     return std::min(wanted, max_trial_rate(route) / settings_.relays) / informed_share(route);
   }
 
+  // A limit refuses calls for up to kMinRefusalSpan.
+  static Time probation_start(const Route& route) {
+    return route.streak_start + (route.failures_in_streak > 0 ? kMinOutageSpan : kMinRefusalSpan);
+  }
+
+  // Whether a call was not served, none was served since, and the circuit is closed: the destination may be
+  // out, or in slow start. A relay that rarely calls gets one retry before the probation starts: its other
+  // calls would come too late to tell.
+  bool on_probation(const Route& route) const {
+    if (route.outage_start != 0 || route.unserved_streak == 0) return false;
+    const bool retried_once =
+        route.failures_in_streak > 0 && route.baseline_rate * kMinInformedSeconds < kOutageStreak;
+    return retried_once || now_ >= probation_start(route);
+  }
+
+  // From its start on, calls on probation are paced like trial calls. The first comes at a random time, so
+  // that relays that saw a call fail together do not return together.
+  void schedule_probation(Route& route) {
+    if (route.probation_enforced) return;
+    if (now_ < probation_start(route)) return wake_at(probation_start(route));
+    route.probation_enforced = true;
+    route.outage_bucket.tokens = std::min(route.outage_bucket.tokens, seconds(random_.between(0, kSecond)));
+    log(route, "on probation, " + std::to_string(route.unserved_streak) + " calls in a row not served; " +
+                   describe_rates(route));
+  }
+
   // When a call may be sent on this route; kNever: not before some other event.
   Time admitted_at(Route& route) {
     if (route.retry_after_until > now_) return route.retry_after_until;
@@ -684,6 +769,12 @@
       if (route.outage_bucket.tokens < 1)
         return std::min(route.outage_bucket.ready_at(now_, rate), now_ + kSecond);
     }
+    if (on_probation(route)) {
+      const double rate = trial_rate(route);
+      route.outage_bucket.refill(now_, rate, 1);
+      if (route.outage_bucket.tokens < 1)
+        return std::min(route.outage_bucket.ready_at(now_, rate), now_ + kSecond);
+    }
     if (route.pacing_rate > 0) {
       route.pacing_bucket.refill(now_, route.pacing_rate,
                                  std::max(1.0, kPacingBurstSeconds * route.pacing_rate));
@@ -696,7 +787,7 @@
   }
 
   void take_tokens(Route& route) {
-    if (route.outage_start != 0) route.outage_bucket.tokens -= 1;
+    if (route.outage_start != 0 || on_probation(route)) route.outage_bucket.tokens -= 1;
     if (route.pacing_rate > 0) route.pacing_bucket.tokens -= 1;
   }
 
@@ -926,7 +1017,7 @@
     send(message, destination, *host);
     const Route& route = *host->route;
     // One message is enough for a trial call.
-    if (route.outage_start != 0 && route.recovery_start == 0) return;
+    if ((route.outage_start != 0 && route.recovery_start == 0) || on_probation(route)) return;
     // Messages sent to one endpoint in the same step may share a call. It takes one slot and counts once
     // against the limit.
     int remaining = batch_of(host->member) - 1;
@@ -1024,8 +1115,13 @@
     message.is_retry = false;
     message.in_flight = true;
     ++calls_in_flight_[last_call_id_];
-    attempts_[{message.arrival.id, message.attempts++}] = {
-        host.member.endpoint, now_, last_call_id_, false, is_trial, call_idle_time_};
+    attempts_[{message.arrival.id, message.attempts++}] = {host.member.endpoint,
+                                                           now_,
+                                                           last_call_id_,
+                                                           false,
+                                                           is_trial,
+                                                           route.probation_enforced && on_probation(route),
+                                                           call_idle_time_};
     Send send_action{message.arrival.id, host.member.endpoint, timeout_of(message, destination)};
     const bool keyed_retry =
         message.maybe_executed && settings_.classes[message.arrival.message_class].effect == Effect::kKeyed;
--- a/src/policy_parts.h
+++ b/src/policy_parts.h
@@ -87,14 +87,12 @@
 
 // Part of the load allowed during slow start that is used: call counts and clocks differ between relays.
 inline constexpr double kSlowStartMargin = 0.7;
-// Trial calls of all relays together, as a part of the rate before the outage.
-inline constexpr double kTrialShare = 0.5;
+// Maximum rate of trial calls of all relays together, as a part of the rate before the outage.
+inline constexpr double kTrialShare = 0.9;
 // Minimum rate of trial calls of all relays together, in calls a second.
 inline constexpr double kMinTrialRate = 1.5;
-// The terms of service accept random excess over a budget of N calls: this many times the square root of N,
-// plus this many calls.
-inline constexpr double kOverloadToleranceRoots = 2;
-inline constexpr double kOverloadToleranceCalls = 2;
+// Factor by which the traffic of relays that do not know of an outage may have grown during it.
+inline constexpr double kUninformedGrowth = 2;
 // Seconds. Minimum age of an outage for estimating the share of relays that hold messages for the
 // destination.
 inline constexpr double kMinInformedSeconds = 5;
@@ -204,7 +202,8 @@
   uint64_t call_id = 0;
   bool cancelled = false;
   bool is_trial = false;  // sent during an outage to find out whether it is over
-  Time idle_time = 0;     // how long its connection had been idle; 0: a new connection or one in use
+  bool on_probation = false;
+  Time idle_time = 0;  // how long its connection had been idle; 0: a new connection or one in use
 };
 
 struct Message {
@@ -248,13 +247,16 @@
   Time streak_start = 0;        // when the first of them was sent
   std::set<Endpoint> streak_endpoints;  // hosts of these calls that the list still has as ready
   double pacing_rate_before_streak = 0;
-  Time outage_start = 0;     // 0: no outage
-  bool suspected = false;    // the outage is inferred from overdue calls alone
-  Time recovery_start = 0;   // first served call after the outage; 0: still out
-  double baseline_rate = 0;  // this relay's rate of served calls before the outage
+  Time outage_start = 0;            // 0: no outage
+  bool suspected = false;           // the outage is inferred from overdue calls alone
+  Time estimated_outage_start = 0;  // also of an outage that the streak of unserved calls may be a sign of
+  Time recovery_start = 0;          // first served call after the outage; 0: still out
+  double baseline_rate = 0;         // this relay's rate of served calls before the outage
   TrialAssignment::Duty trial_duty = TrialAssignment::Duty::kShared;
   bool outage_is_shared = false;  // all relays know of the outage
-  TokenBucket outage_bucket;      // paces trial calls, and all calls during slow start
+  // The time in which an immediate retry may disprove an outage is over: calls on probation wait for a token.
+  bool probation_enforced = false;
+  TokenBucket outage_bucket;  // paces trial calls, calls on probation, and all calls during slow start
   int trials_in_flight = 0;
   Time last_served_sent = std::numeric_limits<Time>::min();  // send time of the youngest served call
   bool probe_in_flight = false;
--- a/tests/policy_test.cpp
+++ b/tests/policy_test.cpp
@@ -598,6 +598,72 @@
   EXPECT_LE(attempts_on_a_dead_destination(100'000, 10 * kSecond), 10 + 10 + 10);  // of a hundred messages
 }
 
+// ---- Probation: a call failed, and nothing was served since ----
+
+// Settings of a fleet in which each relay rarely calls a destination.
+Settings settings_of_rare_callers() {
+  Settings s = basic_settings();
+  s.relays = 100;
+  s.weights = Weights::kNominal;
+  s.overload_window = 3 * kSecond;
+  return s;
+}
+
+// Lets the first call of a new relay end so; returns the calls sent for ten messages that come at `later`.
+size_t calls_after(Outcome outcome, Time later) {
+  Relay relay(settings_of_rare_callers());
+  Member m = member(1);
+  m.weight = 10;
+  const auto first = all_of<Send>(relay.step(0, {members({m}), relay.message(1, 0)}));
+  EXPECT_EQ(first.size(), 1u);
+  AttemptEnded end = ended(first.at(0), 0, outcome);
+  end.final = true;
+  relay.step(100'000, {end});
+  relay.run_idle(150'000, later);
+  std::vector<Event> events;
+  for (uint64_t id = 10; id < 20; ++id) events.push_back(relay.message(id, later));
+  return all_of<Send>(relay.step(later, events)).size();
+}
+
+TEST(Probation, AFailedCallAloneSlowsWhatComesAfterIt) {
+  EXPECT_LE(calls_after(Outcome::kReset, 2 * kSecond), 1u);
+}
+
+TEST(Probation, ARefusedCallSlowsOnlyWhenALimitWouldHaveServedAgain) {
+  EXPECT_GT(calls_after(Outcome::kOk, 4 * kSecond), 1u);
+  EXPECT_LE(calls_after(Outcome::kRefused, 4 * kSecond), 1u);
+}
+
+TEST(Probation, AServedRetryEndsIt) {
+  Relay relay(settings_of_rare_callers());
+  const auto first = all_of<Send>(relay.step(0, {members({member(1)}), relay.message(1, 0)}));
+  ASSERT_EQ(first.size(), 1u);
+  relay.step(100'000, {ended(first[0], 0, Outcome::kReset)});
+  const auto retry = all_of<Send>(relay.run_idle(110'000, 500'000, 10'000));
+  ASSERT_EQ(retry.size(), 1u);
+  relay.step(600'000, {ended(retry[0], 1, Outcome::kOk)});
+  std::vector<Event> events;
+  for (uint64_t id = 10; id < 13; ++id) events.push_back(relay.message(id, 2 * kSecond));
+  EXPECT_EQ(all_of<Send>(relay.step(2 * kSecond, events)).size(), 3u);
+}
+
+TEST(Probation, IsSavedAndRestored) {
+  Relay relay(settings_of_rare_callers());
+  const auto first = all_of<Send>(relay.step(kSecond, {members({member(1)}), relay.message(1, kSecond)}));
+  ASSERT_EQ(first.size(), 1u);
+  AttemptEnded end = ended(first[0], 0, Outcome::kReset);
+  end.final = true;
+  relay.step(kSecond + 100'000, {end});
+  const auto saved = all_of<SaveDestinationState>(relay.run_idle(kSecond + 150'000, 3 * kSecond));
+  ASSERT_FALSE(saved.empty());
+  EXPECT_EQ(saved.back().state.failing_since, kSecond);
+
+  Relay restarted(settings_of_rare_callers());
+  std::vector<Event> events = {members({member(1)}), saved.back().state};
+  for (uint64_t id = 10; id < 20; ++id) events.push_back(restarted.message(id, 4 * kSecond));
+  EXPECT_LE(all_of<Send>(restarted.step(4 * kSecond, events)).size(), 1u);
+}
+
 // ---- Fleets of hundreds: a relay rarely calls most destinations ----
 
 // With 300 relays an even share of the limit is a call a minute: nothing is held back before a refusal.
@@ -651,11 +717,11 @@
     ASSERT_EQ(sends.size(), 1u);
     closed = !all_of<CloseIdleConnections>(actions).empty();
     relay.step(now + 500'000, {ended(sends[0], 0, closed ? Outcome::kOk : Outcome::kReset, 500'000)});
-    now += 5 * kSecond;
-    for (const Send& again : all_of<Send>(relay.step(now, {}))) {
-      relay.step(now + 100'000, {ended(again, 1, Outcome::kOk)});
-    }
     now += kSecond;
+    for (const Send& again : all_of<Send>(relay.run_idle(now - 490'000, now, 10'000))) {
+      relay.step(now, {ended(again, 1, Outcome::kOk)});
+    }
+    now += 5 * kSecond;
   }
   EXPECT_TRUE(closed);
 }
