Policy: the comment of informed_share no longer tells of an earlier estimate

The outage is taken to begin half way between the last served and the first unserved call; the comment still named the last served one.

--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -682,9 +682,7 @@
     }
   }
 
-  // Share of the relays that got a message for the route during the outage, and so know of it. A relay that
-  // rarely calls learns of an outage late: the outage is taken to have begun with the last call that was
-  // served.
+  // Share of the relays that got a message for the route during the outage, and so know of it.
   double informed_share(const Route& route) const {
     if (route.outage_is_shared) return 1;
     const Time end = route.recovery_start == 0 ? now_ : route.recovery_start;
