Failing tests of answers that come twice: hosts' answers and acknowledged notices

A host's second copy of an answer, or the agent's second 204, is taken for the answer to the next request on that connection.

Change: the rehearsal kit can have partners write a share of their answers a second time ('copy', with late_ms and part). Two tests play that against the real daemon, one has an agent that answers a second post on a connection without reading it.

--- a/rehearsal/plan.cpp
+++ b/rehearsal/plan.cpp
@@ -216,6 +216,9 @@
     if (action <= Action::kWithdraw) out.partners = targets_of(scenario, plan, event, random);
     out.relay = relay;
     out.amount = event.amount;
+    out.min_delay = to_microseconds(event.late_ms.low / 1000);
+    out.max_delay = to_microseconds(event.late_ms.high / 1000);
+    out.part = event.part;
     out.sends_retry_after = event.wait_told;
     out.same_address = event.same_address;
     out.linger = to_microseconds(event.linger_s);
--- a/rehearsal/plan.h
+++ b/rehearsal/plan.h
@@ -44,6 +44,9 @@
   std::vector<int> partners;
   int relay = -1;
   double amount = 0;
+  Time min_delay = 0;  // kCopy: of the second answer
+  Time max_delay = 0;
+  double part = 1;  // kCopy: share of its bytes
   bool sends_retry_after = false;
   bool same_address = true;
   Time linger = 0;
--- a/rehearsal/run.cpp
+++ b/rehearsal/run.cpp
@@ -523,6 +523,12 @@
         });
       case Action::kWithdraw:
         return withdraw_partners(event);
+      case Action::kCopy:
+        for (const int p : event.partners) {
+          endpoints_->set_second_answers(p, {event.amount, event.min_delay, event.max_delay, event.part});
+          run_after(event.duration, [this, p] { endpoints_->set_second_answers(p, {}); });
+        }
+        return;
       case Action::kNotices:
         for (Relay& r : relays_) r.agent->hold_notice_replies(true);
         return run_after(event.duration, [this] {
--- a/rehearsal/scenario.cpp
+++ b/rehearsal/scenario.cpp
@@ -21,7 +21,7 @@
       {"lag", Action::kLag},         {"blackout", Action::kBlackout},   {"crowd", Action::kCrowd},
       {"kill", Action::kKill},       {"terminate", Action::kTerminate}, {"rolling", Action::kRolling},
       {"move", Action::kMove},       {"lose", Action::kLose},           {"hold", Action::kHold},
-      {"notices", Action::kNotices}, {"withdraw", Action::kWithdraw}};
+      {"notices", Action::kNotices}, {"withdraw", Action::kWithdraw},   {"copy", Action::kCopy}};
   return all;
 }
 
@@ -267,6 +267,8 @@
   in.integer("relay", out.relay, 0, scenario.relays - 1);
   in.number("amount", out.amount, 0, 1e6);
   in.flag("wait_told", out.wait_told);
+  in.number_range("late_ms", out.late_ms, 0, 600'000);
+  in.number("part", out.part, 0.01, 1);
   in.flag("same_address", out.same_address);
   in.number("linger_s", out.linger_s, 0, kDaySeconds);
   in.reject_unknown_keys();
@@ -285,8 +287,8 @@
     throw ScenarioError(out.where +
                         ": [event] 'replace': expected amount, the share of all endpoints, over 0 to 1");
   }
-  const bool of_share =
-      out.action == Action::kFail || out.action == Action::kReset || out.action == Action::kSpoil;
+  const bool of_share = out.action == Action::kFail || out.action == Action::kReset ||
+                        out.action == Action::kSpoil || out.action == Action::kCopy;
   if (of_share && (out.amount <= 0 || out.amount > 1)) {
     throw ScenarioError(out.where + ": [event] '" + action_name(out.action) +
                         "': expected amount, the share of the calls, over 0 to 1");
--- a/rehearsal/scenario.h
+++ b/rehearsal/scenario.h
@@ -93,6 +93,7 @@
   kSlow,       // partner: service times grow by a factor
   kReset,      // partner: a share of the calls is reset after being read
   kSpoil,      // partner: a share of the responses is malformed
+  kCopy,       // partner: a share of the answers is written a second time
   kHold,       // partner: new connections are established late; open ones continue
   kWithdraw,   // partner: all endpoints leave the list; new ones are listed when the event ends
   kReplace,    // a share of all endpoints is drained and replaced by new ones
@@ -120,6 +121,8 @@
   int relay = -1;       // target relay; -1: drawn at random
   double amount = 0;    // share, factor, rate or seconds, as the action needs
   bool wait_told = false;
+  ValueRange late_ms{0, 0};  // kCopy: delay of the second answer
+  double part = 1;           // kCopy: share of its bytes that are written
   double linger_s = 0;       // kReplace: how long an endpoint stays reachable after it left the list
   bool same_address = true;  // kReplace: some new endpoints take the address of a removed one
   std::string where;         // file:line:column
--- a/standins/endpoints.cpp
+++ b/standins/endpoints.cpp
@@ -375,12 +375,45 @@
           if (self->owner_ == nullptr) return;
           self->is_responding_ = false;
           if (end) self->end_call(error ? CallEnd::kAbandoned : *end, retry_after);
+          if (!error) self->draw_second_answer();
           if (error || close_after) return self->close();
           self->start_idle_timer();
           if (self->buffer_.size() > 0) self->parse(steady_now());
         });
   }
 
+  void draw_second_answer() {
+    const auto chance = owner_->second_answers_.find(endpoint_->settings.destination);
+    if (chance == owner_->second_answers_.end() || owner_->random_() >= chance->second.share) return;
+    const SecondAnswers& second = chance->second;
+    const auto span = static_cast<double>(second.max_delay - second.min_delay);
+    const Time delay = second.min_delay + static_cast<Time>(owner_->random_() * span);
+    const auto size = static_cast<size_t>(second.part * static_cast<double>(out_.size()));
+    write_again_at(steady_now() + delay, std::make_shared<std::string>(out_.substr(0, size)));
+  }
+
+  // Waits for an answer that is being written: the two would mix.
+  void write_again_at(Time at, std::shared_ptr<std::string> answer) {
+    const auto timer = std::make_shared<boost::asio::steady_timer>(socket_.get_executor());
+    timer->expires_at(at_time(at));
+    timer->async_wait([self = shared_from_this(), timer, answer](const Error& error) {
+      if (error || self->owner_ == nullptr) return;
+      if (self->is_responding_) return self->write_again_at(steady_now() + kMillisecond, answer);
+      self->is_responding_ = true;
+      boost::asio::async_write(
+          self->socket_, boost::asio::buffer(*answer),
+          [self, answer](const Error& failed, size_t) { self->on_written_again(failed); });
+    });
+  }
+
+  void on_written_again(const Error& error) {
+    if (owner_ == nullptr) return;
+    is_responding_ = false;
+    if (error) return;
+    owner_->observer_.on_second_answer(steady_now(), relay_, endpoint_->settings.number);
+    if (call_ == 0 && buffer_.size() > 0) parse(steady_now());
+  }
+
   Endpoints* owner_;
   Endpoint* endpoint_;
   int relay_;
@@ -521,6 +554,14 @@
   }
 }
 
+void Endpoints::set_second_answers(int destination, SecondAnswers second_answers) {
+  if (second_answers.share > 0) {
+    second_answers_[destination] = second_answers;
+  } else {
+    second_answers_.erase(destination);
+  }
+}
+
 void Endpoints::hold_connections(int destination, bool hold) {
   for (const auto& [number, endpoint] : endpoints_) {
     if (endpoint->settings.destination != destination) continue;
--- a/standins/endpoints.h
+++ b/standins/endpoints.h
@@ -26,6 +26,14 @@
   int max_connections = 0;  // maximum of open connections; 0: no limit
 };
 
+// Answers that are written a second time on their connection.
+struct SecondAnswers {
+  double share = 0;    // of the answers
+  Time min_delay = 0;  // after the first time
+  Time max_delay = 0;
+  double part = 1;  // share of the bytes that are written again
+};
+
 class Endpoints {
  public:
   struct Options {
@@ -55,6 +63,7 @@
   // Begins a fault of a whole partner. It lasts until end_fault() is called, whatever `until` says.
   void begin_fault(int destination, Fault fault, Time until, double amount, bool sends_retry_after);
   void end_fault(int destination);
+  void set_second_answers(int destination, SecondAnswers second_answers);
   // While on hold, no new connection to the partner is established; afterwards they are when their SYN is
   // sent again. Open connections are not affected.
   void hold_connections(int destination, bool hold);
@@ -84,7 +93,8 @@
   std::map<int, std::unique_ptr<Endpoint>> endpoints_;
   std::map<int, Site*> site_by_endpoint_;  // by endpoint, including closed ones
   std::vector<std::unique_ptr<Site>> sites_;
-  std::vector<int> calls_by_relay_;  // concurrent calls, by relay
+  std::map<int, SecondAnswers> second_answers_;  // by destination
+  std::vector<int> calls_by_relay_;              // concurrent calls, by relay
   size_t connections_ = 0;
   size_t calls_in_flight_ = 0;
   uint64_t last_call_ = 0;
--- a/standins/witness.h
+++ b/standins/witness.h
@@ -93,6 +93,8 @@
   virtual void on_call(Time /*at*/, const Call&) {}
   virtual void on_executed(Time /*at*/, uint64_t /*call*/, bool /*effect*/) {}
   virtual void on_call_ended(Time /*at*/, uint64_t /*call*/, CallEnd, Time /*retry_after*/) {}
+  // An answer, or a part of it, was written a second time.
+  virtual void on_second_answer(Time /*at*/, int /*relay*/, int /*endpoint*/) {}
   virtual void on_probe(Time /*at*/, int /*relay*/, int /*endpoint*/, bool /*ok*/) {}
   virtual void on_notice(Time /*at*/, int /*relay*/, uint64_t /*id*/, bool /*returned*/,
                          Time /*retry_after*/) {}
@@ -142,6 +144,9 @@
   void on_call_ended(Time at, uint64_t call, CallEnd end, Time retry_after) override {
     for (Observer* observer : observers_) observer->on_call_ended(at, call, end, retry_after);
   }
+  void on_second_answer(Time at, int relay, int endpoint) override {
+    for (Observer* observer : observers_) observer->on_second_answer(at, relay, endpoint);
+  }
   void on_probe(Time at, int relay, int endpoint, bool ok) override {
     for (Observer* observer : observers_) observer->on_probe(at, relay, endpoint, ok);
   }
--- a/tests/peers.cpp
+++ b/tests/peers.cpp
@@ -184,7 +184,7 @@
     std::snprintf(size, sizeof size, "%zx\r\n", text.size());
     return connection.send(size + text + "\r\n");
   };
-  while (!stopped_) {
+  for (int posts = 0; !stopped_;) {
     if (!readable(connection.fd(), 50)) continue;
     const auto request = read_request(connection);
     if (!request) return;
@@ -198,6 +198,10 @@
       }
       return;
     }
+    if (posts++ > 0 && answers_later_posts_unread_) {
+      connection.send("HTTP/1.1 204 No Content\r\n\r\n");
+      continue;
+    }
     if (notices_to_refuse_ > 0) {
       --notices_to_refuse_;
       ++refused_notices_;
--- a/tests/peers.h
+++ b/tests/peers.h
@@ -100,6 +100,8 @@
   nlohmann::json next_notice();              // the next one that was acknowledged with 204
   void refuse_notices(int count) { notices_to_refuse_ = count; }  // the next `count` posts get 503
   // Watches opened while it is silent never get a reply, as if discovery were down.
+  // Each later post on a connection gets the answer to the post before it once more, and is not read.
+  void answer_later_posts_unread() { answers_later_posts_unread_ = true; }
   void set_silent(bool on = true) { silent_ = on; }
   int refused_notices() const { return refused_notices_; }
 
@@ -109,6 +111,7 @@
   Socket listener_ = Socket::listen();
   std::atomic<bool> stopped_ = false;
   std::atomic<bool> silent_ = false;
+  std::atomic<bool> answers_later_posts_unread_ = false;
   std::atomic<int> notices_to_refuse_ = 0;
   std::atomic<int> refused_notices_ = 0;
   std::mutex mutex_;
--- a/tests/program_test.cpp
+++ b/tests/program_test.cpp
@@ -253,6 +253,16 @@
   EXPECT_EQ(s.discovery.refused_notices(), 2);
 }
 
+TEST(Program, ASecondAcknowledgementAcknowledgesNoOtherNotice) {
+  RelaySetup s;
+  s.discovery.answer_later_posts_unread();
+  s.program.start();
+  for (const char* id : {"00000000000000a1", "00000000000000a2", "00000000000000a3"}) {
+    EXPECT_EQ(s.put(id, attributes_of("unsafe", 99, 100)), "+OK");
+    EXPECT_EQ(s.discovery.next_notice()["id"], id);
+  }
+}
+
 TEST(Program, OwesANoticeAfterARestart) {
   RelaySetup s;
   s.discovery.refuse_notices(1'000'000);
--- a/tests/rehearsal/planted_test.cpp
+++ b/tests/rehearsal/planted_test.cpp
@@ -184,6 +184,29 @@
   }
 }
 
+// Hosts write one answer in five a second time, so much later, and fail one call in twenty, so that an answer
+// that is taken for another one shows.
+void expect_second_answers_harmless(const std::string& late_ms, const std::string& more_keys = "") {
+  ::unsetenv("UMBERHOIST_FAULT");
+  const ScenarioCase scenario{
+      "second-answers",
+      "[[event]]\nat_s = 0.5\nfor_s = 6\ndo = \"copy\"\nkind = \"std\"\namount = 0.2\nlate_ms = " + late_ms +
+          "\n" + more_keys,
+      {"load.rate=150", "seconds=7"},
+      "spare = 3\nerror_rate = 0.05"};
+  for (int seed = 1; seed <= seeds(); ++seed) {
+    const RunResult run = run_scenario(UMBERHOIST, scenario, seed);
+    SCOPED_TRACE("seed " + std::to_string(seed));
+    EXPECT_EQ(run.status, 0) << run.out;
+    ASSERT_TRUE(run.report.is_object()) << run.out;
+    EXPECT_EQ(run.report.at("breaches"), 0) << run.out;
+    EXPECT_GT(run.report.at("messages"), 500);
+  }
+}
+
+TEST(SecondAnswers, After50MsEndNoOtherCall) { expect_second_answers_harmless("50"); }
+TEST(SecondAnswers, Within300MsEndNoOtherCall) { expect_second_answers_harmless("[0, 300]"); }
+
 std::string test_name(std::string name) {
   std::replace(name.begin(), name.end(), '-', '_');
   return name;
