Stand-in of hosts: a request that arrives during a call is no longer read twice

Cause: Endpoints::Connection had its read pending in buffer_.prepare() while the write's handler consumed the next request from the same buffer, which resets it: the bytes read then were committed elsewhere, and the request before stood there once more. No relay sent a request ahead of its answer before, so it never showed.

Change: the read has an array of its own. Test Standins.CallsThatDoNotWaitForTheAnswerBeforeAreReadAsTheyWereSent fails with the old source (third call read as the second again) and passes with the new one. Beside it a test of the second answers that the kit writes.

--- a/standins/endpoints.cpp
+++ b/standins/endpoints.cpp
@@ -10,6 +10,7 @@
 #include <cerrno>
 #include <charconv>
 #include <cstdio>
+#include <cstring>
 
 namespace umberhoist::standins {
 namespace {
@@ -197,13 +198,15 @@
   }
 
   void read() {
-    socket_.async_read_some(buffer_.prepare(kReadChunkBytes),
+    // Not into the buffer's own room: requests may be taken from it while the read is pending.
+    socket_.async_read_some(boost::asio::buffer(chunk_),
                             [self = shared_from_this()](const Error& error, size_t count) {
                               if (self->owner_ == nullptr) return;
                               if (count == 0 || error) {
                                 self->end_call(CallEnd::kAbandoned, 0);
                                 return self->close();
                               }
+                              std::memcpy(self->buffer_.prepare(count).data(), self->chunk_.data(), count);
                               self->buffer_.commit(count);
                               self->on_input();
                               if (self->owner_ != nullptr) self->read();
@@ -419,6 +422,7 @@
   int relay_;
   tcp::socket socket_;
   boost::asio::steady_timer timer_;
+  std::array<char, kReadChunkBytes> chunk_;
   boost::beast::flat_buffer buffer_;
   std::optional<Parser> parser_;
   std::string out_;
--- a/tests/rehearsal/standins_test.cpp
+++ b/tests/rehearsal/standins_test.cpp
@@ -134,6 +134,33 @@
   ASSERT_TRUE(setup.run_until([&] { return c.text.starts_with("HTTP/1.1 200"); }));
 }
 
+TEST(Standins, CallsThatDoNotWaitForTheAnswerBeforeAreReadAsTheyWereSent) {
+  StandinsSetup setup;
+  TestClient c(setup);
+  ASSERT_TRUE(c.up());
+  c.call(5, "first");
+  c.call(6, "the second");
+  ASSERT_TRUE(setup.run_until([&] { return setup.observer.ends.size() == 2; }));
+  c.call(7, "third");
+  ASSERT_TRUE(setup.run_until([&] { return setup.observer.ends.size() == 3; }));
+  EXPECT_EQ(setup.observer.calls.at(1).id, 6u);
+  EXPECT_EQ(setup.observer.calls.at(2).id, 7u);
+  EXPECT_EQ(setup.observer.calls.at(2).body, hash_bytes("third"));
+}
+
+TEST(Standins, ASecondAnswerIsWrittenInFullOrInPart) {
+  for (const double part : {1.0, 0.5}) {
+    StandinsSetup setup;
+    setup.endpoints.set_second_answers(7, {1, 5 * kMillisecond, 5 * kMillisecond, part});
+    TestClient c(setup);
+    ASSERT_TRUE(c.up());
+    c.call();
+    const std::string answer = "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n";
+    const auto size = static_cast<size_t>(part * static_cast<double>(answer.size()));
+    EXPECT_TRUE(setup.run_until([&] { return c.text == answer + answer.substr(0, size); })) << c.text;
+  }
+}
+
 // A partner that stays silent without a reset, as in 20 s outages, but shorter.
 TEST(Standins, ASilentMachineAnswersNothingResetsNothingAndLetsNoneIn) {
   StandinsSetup setup;
