Notices: each post has a connection of its own

Cause: NoticeSender kept one connection. A second 204 is read as the reply to the next post, whose lines are then forgotten though they were never read (NoticeSender::on_post_ended, PostConnection::reusable).

Change: one post a connection, with Connection: close; bytes ahead of the request are no reply to it; posts are 5 ms apart at least, so that connections in TIME_WAIT stay bounded.

--- a/relay/discovery.cpp
+++ b/relay/discovery.cpp
@@ -20,6 +20,8 @@
 // attempt is still in time.
 constexpr milliseconds kPostTimeout{150};
 constexpr milliseconds kMaxPostRetryDelay{200};
+// Bounds the connections to the agent that wait for their end in the kernel.
+constexpr milliseconds kMinPostInterval{5};
 constexpr size_t kMaxListBytes = 8 * 1024 * 1024;
 constexpr size_t kMaxNoticesPerPost = 200;  // keeps a request well below the maximum body size
 
@@ -196,25 +198,25 @@
   return true;
 }
 
-// A keep-alive connection for notices, with one request at a time.
-class NoticeSender::PostConnection : public std::enable_shared_from_this<PostConnection> {
+// One post of notices, on a connection of its own: a late reply to an earlier post would otherwise
+// acknowledge notices that were never read.
+class NoticeSender::Post : public std::enable_shared_from_this<Post> {
  public:
-  explicit PostConnection(NoticeSender& owner) : owner_(&owner), socket_(owner.io_), timer_(owner.io_) {}
+  explicit Post(NoticeSender& owner) : owner_(&owner), socket_(owner.io_), timer_(owner.io_) {}
 
   void send(const std::string& body) {
-    request_ = {};
     request_.version(11);
     request_.method(http::verb::post);
     request_.target("/v2/finals");
     request_.set(http::field::host, owner_->address_.address().to_string());
     request_.set(http::field::content_type, "application/x-ndjson");
+    request_.keep_alive(false);
     request_.body() = body;
     request_.prepare_payload();
     timer_.expires_after(kPostTimeout);
     timer_.async_wait([self = shared_from_this()](const Error& error) {
       if (!error) self->end(false);
     });
-    if (socket_.is_open()) return write();
     socket_.async_connect(owner_->address_, [self = shared_from_this()](const Error& error) {
       if (error) return self->end(false);
       Error ignored;
@@ -223,8 +225,6 @@
     });
   }
 
-  bool reusable() const { return reusable_; }
-
   void close() {
     owner_ = nullptr;
     Error ignored;
@@ -234,11 +234,12 @@
 
  private:
   void write() {
+    Error ignored;
+    if (socket_.available(ignored) > 0)
+      return end(false);  // what comes ahead of the request is no reply to it
     http::async_write(socket_, request_, [self = shared_from_this()](const Error& error, size_t) {
       if (error) return self->end(false);
-      self->response_ = {};
       http::async_read(self->socket_, self->buffer_, self->response_, [self](const Error& failed, size_t) {
-        self->reusable_ = !failed && self->response_.keep_alive();
         self->end(!failed && self->response_.result_int() == 204);
       });
     });
@@ -246,7 +247,6 @@
 
   void end(bool acknowledged) {
     timer_.cancel();
-    reusable_ = reusable_ && acknowledged;
     if (owner_ != nullptr) owner_->on_post_ended(acknowledged);
   }
 
@@ -256,7 +256,6 @@
   http::request<http::string_body> request_;
   boost::beast::flat_buffer buffer_;
   http::response<http::string_body> response_;
-  bool reusable_ = false;
 };
 
 NoticeSender::NoticeSender(boost::asio::io_context& io, const tcp::endpoint& address,
@@ -268,7 +267,7 @@
       retry_delay_(kMinRetryDelay) {}
 
 NoticeSender::~NoticeSender() {
-  if (connection_) connection_->close();
+  if (post_) post_->close();
 }
 
 void NoticeSender::add(Notice notice) {
@@ -279,16 +278,20 @@
 void NoticeSender::set_address(const tcp::endpoint& address) {
   if (address == address_) return;
   address_ = address;
-  if (connection_) connection_->close();
-  connection_.reset();
+  if (post_) post_->close();
+  post_.reset();
   in_flight_ = 0;
   retry_timer_.cancel();
   retry_delay_ = kMinRetryDelay;
+  earliest_post_ = {};
   send_next();
 }
 
 void NoticeSender::send_next() {
   if (in_flight_ > 0 || queue_.empty()) return;
+  const auto now = std::chrono::steady_clock::now();
+  if (now < earliest_post_) return send_at(earliest_post_);
+  earliest_post_ = now + kMinPostInterval;
   std::string body;
   for (; in_flight_ < std::min(queue_.size(), kMaxNoticesPerPost); ++in_flight_) {
     const Notice& notice = queue_[in_flight_];
@@ -296,15 +299,13 @@
     if (notice.returned && notice.retry_after > 0) line["after_ms"] = (notice.retry_after + 999) / 1000;
     body += line.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace) + "\n";
   }
-  if (!connection_) connection_ = std::make_shared<PostConnection>(*this);
-  connection_->send(body);
+  post_ = std::make_shared<Post>(*this);
+  post_->send(body);
 }
 
 void NoticeSender::on_post_ended(bool acknowledged) {
-  if (!connection_->reusable()) {
-    connection_->close();
-    connection_.reset();
-  }
+  post_->close();
+  post_.reset();
   if (acknowledged) {
     for (; in_flight_ > 0; --in_flight_) {
       on_acknowledged_(queue_.front().id);
@@ -314,8 +315,12 @@
     return send_next();
   }
   in_flight_ = 0;
-  retry_timer_.expires_after(retry_delay_);
+  send_at(std::chrono::steady_clock::now() + retry_delay_);
   retry_delay_ = std::min(2 * retry_delay_, kMaxPostRetryDelay);
+}
+
+void NoticeSender::send_at(std::chrono::steady_clock::time_point time) {
+  retry_timer_.expires_at(time);
   retry_timer_.async_wait([this](const Error& error) {
     if (!error) send_next();
   });
--- a/relay/discovery.h
+++ b/relay/discovery.h
@@ -6,6 +6,7 @@
 #include <boost/asio/steady_timer.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http.hpp>
+#include <chrono>
 #include <deque>
 #include <functional>
 #include <memory>
@@ -57,7 +58,8 @@
   std::vector<std::shared_ptr<Stream>> old_streams_;  // to former addresses, until they end
 };
 
-// Sends notices to discovery and repeats each until it is acknowledged with 204.
+// Sends notices to discovery and repeats each until it is acknowledged with 204. Each post has a connection
+// of its own.
 class NoticeSender {
  public:
   using AcknowledgedCallback = std::function<void(const std::string& id)>;
@@ -72,9 +74,10 @@
   bool empty() const { return queue_.empty(); }
 
  private:
-  class PostConnection;
+  class Post;
 
   void send_next();
+  void send_at(std::chrono::steady_clock::time_point time);
   void on_post_ended(bool acknowledged);
 
   boost::asio::io_context& io_;
@@ -82,9 +85,10 @@
   AcknowledgedCallback on_acknowledged_;
   boost::asio::steady_timer retry_timer_;
   std::chrono::milliseconds retry_delay_;
+  std::chrono::steady_clock::time_point earliest_post_;
   std::deque<Notice> queue_;
   size_t in_flight_ = 0;  // notices at the front of queue_ that are in the current request
-  std::shared_ptr<PostConnection> connection_;
+  std::shared_ptr<Post> post_;
 };
 
 }  // namespace firspool::relay
