Register: requests of a process are numbered apart from those of earlier ones

A late answer to a relay's earlier process reaches the new one by the relay's name (Links::by_name_, voters' links), and both numbered their requests from 1: a change could be reported as made that was not, and a lease be dated by a heartbeat that was not answered.

Change: the first number is drawn with the process's boot id.

--- a/register/node.cpp
+++ b/register/node.cpp
@@ -35,6 +35,9 @@
       opened_at_(now.steady_us) {
   is_voter_ = find_voter(options_.name) != nullptr;
   boot_id_ = random_() | 1;
+  // Numbers of requests differ from those of earlier processes of this relay, as late answers to them may
+  // come.
+  heartbeat_number_ = last_command_number_ = boot_id_ >> 1;
   next_heartbeat_at_ =
       now.steady_us +
       static_cast<int64_t>(random_() % static_cast<uint64_t>(options_.relay_heartbeat_ms * kUsPerMs));
--- a/tests/register/node_test.cpp
+++ b/tests/register/node_test.cpp
@@ -302,6 +302,23 @@
   EXPECT_TRUE(fleet.recovers()) << fleet.state();
 }
 
+TEST(Register, ALateAnswerToAnEarlierProcessEndsNoRequestOfThisOne) {
+  Fleet fleet(5, 3, 16);
+  fleet.start_and_settle();
+  fleet.isolate(4);
+  bool answered = false;
+  fleet.node(4).propose_version("v", fleet.now_of(fleet.relays[4]),
+                                [&](bool, const std::string&) { answered = true; });
+  for (uint64_t number = 1; number <= 100; ++number) {  // an earlier process began with 1
+    pb::Frame frame;
+    frame.set_from(SimulatedFleet::name(static_cast<size_t>(fleet.leader())));
+    frame.mutable_propose_answer()->set_number(number);
+    frame.mutable_propose_answer()->set_done(true);
+    fleet.node(4).receive(frame, fleet.now_of(fleet.relays[4]));
+  }
+  EXPECT_FALSE(answered);
+}
+
 // ---- Leases ----
 
 TEST(Register, ARelayStoppedPastItsLeaseFindsOutBeforeItActs) {
