umberhoistctl: an answer to another request is an error, not this one's answer

It now asks for the answer's number and says so in one line otherwise. Test Verbs.AnAnswerToAnotherRequestIsNotTakenForThisOnes failed before (status printed from a stranger's frame), passes.

--- a/ctl/fleet.cpp
+++ b/ctl/fleet.cpp
@@ -8,6 +8,11 @@
 #include "fleet/links.h"
 
 namespace umberhoist::ctl {
+namespace {
+
+constexpr uint64_t kRequestNumber = 1;  // the connection carries one request
+
+}  // namespace
 
 FleetReply send_request(const std::string& address, register_pb::Ask request,
                         std::chrono::milliseconds timeout) {
@@ -20,7 +25,7 @@
     return {false, false, "'" + address + "' is no address; expected IPv4 and port, as 127.0.0.1:7101"};
   }
   register_pb::Frame frame;
-  request.set_number(1);
+  request.set_number(kRequestNumber);
   *frame.mutable_ask() = std::move(request);
   const std::string request_bytes = fleet::encode_frame(frame);
 
@@ -30,23 +35,25 @@
   std::string received;
   std::array<char, 65'536> buffer;
   std::function<void()> read = [&] {
-    socket.async_read_some(boost::asio::buffer(buffer),
-                           [&](const boost::system::error_code& failure, size_t bytes_received) {
-                             if (failure) {
-                               reply.text = address + ": " + failure.message();
-                               return;
-                             }
-                             received.append(buffer.data(), bytes_received);
-                             bool malformed = false;
-                             const auto reply_frame = fleet::decode_frame(received, malformed);
-                             if (malformed) {
-                               reply.text = address + " answers what is no frame";
-                             } else if (!reply_frame) {
-                               read();
-                             } else {
-                               reply = {true, reply_frame->told().done(), reply_frame->told().text()};
-                             }
-                           });
+    socket.async_read_some(
+        boost::asio::buffer(buffer), [&](const boost::system::error_code& failure, size_t bytes_received) {
+          if (failure) {
+            reply.text = address + ": " + failure.message();
+            return;
+          }
+          received.append(buffer.data(), bytes_received);
+          bool malformed = false;
+          const auto reply_frame = fleet::decode_frame(received, malformed);
+          if (malformed) {
+            reply.text = address + " answers what is no frame";
+          } else if (!reply_frame) {
+            read();
+          } else if (!reply_frame->has_told() || reply_frame->told().number() != kRequestNumber) {
+            reply.text = address + " answers another request";
+          } else {
+            reply = {true, reply_frame->told().done(), reply_frame->told().text()};
+          }
+        });
   };
   socket.async_connect({host, static_cast<uint16_t>(port)}, [&](const boost::system::error_code& failure) {
     if (failure) {
--- a/tests/ctl/fleet_verbs_test.cpp
+++ b/tests/ctl/fleet_verbs_test.cpp
@@ -4,11 +4,16 @@
 #include <sys/wait.h>
 
 #include <array>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/write.hpp>
 #include <cstdio>
 #include <filesystem>
 #include <fstream>
+#include <thread>
 
 #include "fleet/config.h"
+#include "fleet/links.h"
 
 namespace umberhoist::ctl {
 namespace {
@@ -157,6 +162,26 @@
   }
 }
 
+TEST_F(Verbs, AnAnswerToAnotherRequestIsNotTakenForThisOnes) {
+  using boost::asio::ip::tcp;
+  boost::asio::io_context io;
+  tcp::acceptor acceptor(io, {boost::asio::ip::address_v4::loopback(), 0});
+  std::thread relay([&] {
+    tcp::socket connection = acceptor.accept();
+    register_pb::Frame frame;
+    frame.mutable_told()->set_number(7);
+    frame.mutable_told()->set_done(true);
+    boost::asio::write(connection, boost::asio::buffer(fleet::encode_frame(frame)));
+    boost::system::error_code closed;
+    std::array<char, 4096> bytes;
+    while (!closed) connection.read_some(boost::asio::buffer(bytes), closed);
+  });
+  const auto result = run("fleet status --to 127.0.0.1:" + std::to_string(acceptor.local_endpoint().port()));
+  relay.join();
+  EXPECT_NE(result.status, 0) << result.out;
+  EXPECT_NE(result.out.find("answers another request"), std::string::npos) << result.out;
+}
+
 TEST_F(Verbs, TheDaemonSaysSoInOneLineAndEndsBeforeItListens) {
   std::filesystem::create_directory(folder / "state");
   const std::string wrong = file("fleet.toml", changed("id = 3", "id = 70000"));
