Replies on used connections: delivered only after silence, refused only once given up

Cause: Upstream::Exchange took the next bytes on a kept connection for the answer to its last request and believed them in full: a 200 ended the message (Relay::end_message), a 503 was recorded as never run. A host's second copy of an answer ends the next call, and every later answer on that connection is one call late. Idle connections were looked at only when taken and each 250 ms.

Change: unverified_replies (core), connection_pool (idle connections, read from) and reply_fields come out of upstream.cpp. A refusal there may have run, and its call is given up by shutting the sending side before the message may go out again, unless the connection was silent and had only delivered. Messages that may not be repeated go only where a refusal is certain; probes connect. What comes ahead of a request answers nothing. Log lines and counters for all of it. The checker allows a notice of failure for a delivered message after a second answer or a failed call of its endpoint, as the protocol does ('does no harm'); else it is a breach as before.

--- a/include/firspool/policy.h
+++ b/include/firspool/policy.h
@@ -164,6 +164,9 @@
   Endpoint endpoint;
   Outcome outcome = Outcome::kError;
   bool final = false;  // the message is finished
+  // The reply may answer an earlier call on the same connection: this one may have been executed, whatever
+  // the outcome.
+  bool reply_unverified = false;
   Time duration = 0;
   Time retry_after = 0;  // with kRefused or kMalformed: the wait that the host asked for; 0: none
   bool connection_limit_reached =
@@ -221,6 +224,12 @@
   double baseline_rate = 0;  // calls a second that were served before, as that relay estimated
 };
 
+// A host asked to wait in a reply that belongs to no known attempt.
+struct RetryAfterReceived {
+  Endpoint endpoint;
+  Time retry_after = 0;
+};
+
 // This process stops at a known time: calls that may not be over by then are not started.
 struct ShutdownScheduled {
   Time at = 0;
@@ -228,7 +237,7 @@
 
 using Event =
     std::variant<MembersChanged, Arrival, AttemptEnded, ProbeEnded, Withdrawn, TimerFired, PeerMessage,
-                 ShutdownScheduled, DestinationState, TrialAssignment, PeerHealthReport>;
+                 ShutdownScheduled, DestinationState, TrialAssignment, PeerHealthReport, RetryAfterReceived>;
 
 // ---- Actions ----
 
--- a/rehearsal/checker.h
+++ b/rehearsal/checker.h
@@ -97,6 +97,7 @@
   void on_call(Time at, const Call& call) override;
   void on_executed(Time at, uint64_t call, bool effect) override;
   void on_call_ended(Time at, uint64_t call, CallEnd end, Time retry_after) override;
+  void on_second_answer(Time at, int relay, int endpoint) override;
   void on_probe(Time at, int relay, int endpoint, bool ok) override;
   void on_notice(Time at, int relay, uint64_t id, bool returned, Time retry_after) override;
   void on_list_changed(Time at, int endpoint, int destination, HostState state) override;
@@ -140,6 +141,7 @@
   void check_target(Time at, const Call& call, const TrackedMessage* m);
   void check_load(Time at, int relay, int destination);
   void check_unresolved(Time now, uint64_t id);
+  bool is_delivery_in_doubt(const TrackedMessage& m) const;
   Time drain_notified_at(int relay, int endpoint, Time at) const;
 
   struct Relay {
@@ -153,6 +155,8 @@
     std::map<int, std::pair<Time, Time>> wait_origin;  // by destination: time of the refusal, its wait
     std::map<int, Time> notified_at;                   // by endpoint: drain or removal written to the relay
     std::map<int, Time> agent_updated_at;              // by endpoint: drain or removal known to its agent
+    std::map<int, Time> second_answer_at;              // by endpoint: the last one
+    std::map<int, Time> failed_call_at;                // by endpoint: the last call that did not deliver
   };
   struct Endpoint {
     int destination = -1;
--- a/relay/relay.cpp
+++ b/relay/relay.cpp
@@ -90,7 +90,8 @@
           [this](const ProbeEnded& end) {
             post_event(end);
             on_call_returned(end.endpoint);
-          }),
+          },
+          reply_callbacks()),
       watch_(
           io, config.discovery, config.list_names,
           [this, known = config.known_hosts.revision] { return std::max(known, directory_.revision()); },
@@ -399,8 +400,9 @@
 }
 
 void Relay::on_attempt_ended(const AttemptEnded& end, bool started) {
-  const bool not_executed = end.outcome == Outcome::kRefused || end.outcome == Outcome::kConnectFailed ||
-                            end.outcome == Outcome::kNotStarted;
+  const bool not_executed =
+      !end.reply_unverified && (end.outcome == Outcome::kRefused || end.outcome == Outcome::kConnectFailed ||
+                                end.outcome == Outcome::kNotStarted);
   const auto message = open_messages_.find(end.id);
   const ListedHost* host = directory_.find(end.endpoint);
   if (end.retry_after > 0 && host != nullptr) {
@@ -411,7 +413,7 @@
     fleet_->on_attempt_ended(host->member.destination, end.outcome, steady_now());
   if (message != open_messages_.end()) {
     if (end.final) {
-      end_message(end.id, {});
+      end.reply_unverified ? end_provisionally(end.id) : end_message(end.id, {});
     } else if (not_executed && (started || message->second.recorded_attempt == end.attempt)) {
       journal_.record_not_executed(message->second.submission.id, end.attempt);
     }
@@ -551,6 +553,7 @@
     call.body = message->second.submission.body;
     call.timeout = send->timeout;
     call.start_by = send->start_by;
+    call.may_repeat = may_repeat(message->second.submission);
     ++in_flight_[call.endpoint];
     upstream_.call(std::move(call));
   } else if (const auto* refuse = std::get_if<Refuse>(&action)) {
@@ -590,11 +593,70 @@
   } else {
     journal_.record_done(message->second.submission.id);
   }
+  forget_message(number);
+}
+
+void Relay::forget_message(uint64_t number) {
+  const auto message = open_messages_.find(number);
   capacity_forecast_.record_release(steady_now(), message->second.submission.body.size());
   numbers_by_id_.erase(message->second.submission.id);
   open_messages_.erase(message);
 }
 
+// Ends a message by a reply that may belong to an earlier call. A notice that it failed is recorded, so that
+// a restart sends it, but it is sent only if the reply turns out to be in doubt; `on_confirmed` withdraws it.
+// A notice for a message that was delivered after all does no harm.
+void Relay::end_provisionally(uint64_t number) {
+  const Notice notice{open_messages_.at(number).submission.id, false, 0};
+  if (!journal_.record_notice(notice)) return end_message(number, notice);
+  if (fleet_) fleet_->on_message_ended(number);
+  forget_message(number);
+}
+
+void Relay::on_reply_doubtful(const std::string& id) {
+  unsynced_notices_.push_back({journal_.written_position(), Notice{id, false, 0}});
+  send_notices();
+  sync();
+}
+
+void Relay::on_surplus_retry_after(const Endpoint& endpoint, Time retry_after) {
+  if (const ListedHost* host = directory_.find(endpoint)) {
+    Time& until = route_retry_at_[route_of(host->member)];
+    until = std::max(until, steady_now() + retry_after);
+  }
+  post_event(RetryAfterReceived{endpoint, retry_after});
+}
+
+Upstream::ReplyCallbacks Relay::reply_callbacks() {
+  Upstream::ReplyCallbacks out;
+  out.on_confirmed = [this](const std::string& message) { journal_.record_done(message); };
+  out.on_doubtful = [this](const std::string& id) { on_reply_doubtful(id); };
+  out.on_retry_after = [this](const Endpoint& endpoint, Time retry_after) {
+    on_surplus_retry_after(endpoint, retry_after);
+  };
+  return out;
+}
+
+bool Relay::may_repeat(const Submission& submission) const {
+  const int message_class = class_of(submission.message_class);
+  return message_class >= 0 &&
+         config_.settings.classes[static_cast<size_t>(message_class)].effect != Effect::kUnsafe;
+}
+
+void Relay::log_reply_counters() const {
+  const Upstream::Counters& counters = upstream_.counters();
+  const auto count = [](uint64_t value) { return static_cast<unsigned long long>(value); };
+  std::fprintf(
+      stderr,
+      "hosts: %llu connections made, %llu used again; %llu times surplus bytes; %llu calls given up\n",
+      count(counters.new_connections), count(counters.reused_connections), count(counters.surplus_replies),
+      count(counters.calls_given_up));
+  std::fprintf(stderr,
+               "replies on used connections: %llu ended a message, %llu of them confirmed, %llu in doubt\n",
+               count(counters.unverified_replies), count(counters.confirmed_replies),
+               count(counters.doubtful_replies));
+}
+
 void Relay::send_notices() {
   while (!unsynced_notices_.empty() && journal_.is_durable(unsynced_notices_.front().position)) {
     notice_sender_.add(std::move(unsynced_notices_.front().value));
@@ -643,10 +705,14 @@
     clients_shut_down_ = true;
     if (client_server_) client_server_->shut_down();
   }
-  const bool idle = open_messages_.empty() && notice_sender_.empty() && unrecorded_notices_.empty() &&
-                    unsynced_notices_.empty() && unsynced_replies_.empty() &&
+  if (clients_shut_down_ && open_messages_.empty()) upstream_.end_unverified();
+  const bool idle = open_messages_.empty() && !upstream_.has_unverified() && notice_sender_.empty() &&
+                    unrecorded_notices_.empty() && unsynced_notices_.empty() && unsynced_replies_.empty() &&
                     (!client_server_ || client_server_->all_closed());
-  if (age >= kShutdownTimeout || (clients_shut_down_ && idle)) return io_.stop();
+  if (age >= kShutdownTimeout || (clients_shut_down_ && idle)) {
+    log_reply_counters();
+    return io_.stop();
+  }
   stop_timer_.expires_after(std::chrono::microseconds(kShutdownPollInterval));
   stop_timer_.async_wait([this](const boost::system::error_code& error) {
     if (!error) poll_shutdown();
--- a/relay/relay.h
+++ b/relay/relay.h
@@ -85,6 +85,13 @@
   void reply_to_pending(const std::vector<Action>& actions);
   void execute(const Action& action);
   void end_message(uint64_t number, std::optional<Notice> notice);
+  void end_provisionally(uint64_t number);
+  void on_reply_doubtful(const std::string& id);
+  void on_surplus_retry_after(const Endpoint& endpoint, Time retry_after);
+  Upstream::ReplyCallbacks reply_callbacks();
+  void log_reply_counters() const;
+  void forget_message(uint64_t number);
+  bool may_repeat(const Submission& submission) const;
   void record_notices();
   void send_notices();
   void reply_accepted(uint64_t position, ClientServer::ReplyCallback reply);
--- a/relay/upstream.cpp
+++ b/relay/upstream.cpp
@@ -1,15 +1,15 @@
 #include "upstream.h"
 
-#include <sys/socket.h>
-
 #include <algorithm>
+#include <boost/asio/post.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http.hpp>
-#include <charconv>
-#include <cmath>
-#include <limits>
+#include <cstdio>
+#include <cstring>
 #include <optional>
 
+#include "reply_fields.h"
+
 namespace firspool::relay {
 namespace {
 
@@ -20,75 +20,29 @@
 constexpr Time kIdleCloseMargin = kSecond;  // idle connections are closed this long before the host would
 constexpr Time kProbeTimeout = 1500 * 1000;
 constexpr size_t kMaxBodyBytes = 64 * 1024;
-constexpr size_t kMaxIdlePerHost = 64;
 
 // Limit of all that is read for one reply, including headers and 1xx replies.
 constexpr size_t kMaxReplyBytes = 2 * kMaxBodyBytes;
 constexpr size_t kReadBytes = 4 * 1024;
 // From the first byte of a reply to its last. A reply that takes longer is taken for one that never ends.
 constexpr Time kReplyCompletionTimeout = 300 * 1000;
-// Surplus bytes that a host sends after a reply arrive within this time.
+// Surplus bytes that a host sends right after a reply arrive within this time.
 constexpr Time kSettleTime = 2 * 1000;
-constexpr double kMaxReportedValue = 1e9;
-constexpr double kMaxRetryAfterSeconds = 24 * 3600;
-constexpr std::string_view kVersion = "HTTP/1.";
+constexpr std::chrono::milliseconds kSweepInterval{250};
+constexpr Time kDoubtLogInterval = kSecond;
 
 std::chrono::steady_clock::time_point at_time(Time t) {
   return std::chrono::steady_clock::time_point(std::chrono::microseconds(t));
 }
 
-// Whether the reply begins with a status line with 200, even if the rest is malformed.
-bool has_status_200(std::string_view head) {
-  constexpr std::string_view kOk = " 200";
-  const size_t code = kVersion.size() + 1;
-  return head.starts_with(kVersion) && head.size() > code + kOk.size() &&
-         head.substr(code, kOk.size()) == kOk &&
-         std::string_view(" \r\n").find(head[code + kOk.size()]) != std::string_view::npos;
-}
-
-// An idle connection must have nothing to read: readable means that the peer has closed it or sent surplus
-// bytes.
-bool is_usable(tcp::socket& socket) {
-  char byte = 0;
-  const ssize_t got = ::recv(socket.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
-  return got < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
-}
-
-std::optional<double> parse_decimal(std::string_view text) {
-  double value = 0;
-  const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), value);
-  if (error != std::errc() || end != text.data() + text.size() || !std::isfinite(value) || value < 0)
-    return {};
-  return value;
-}
-
-// A value that is no number counts as 0. It applies to messages yet to come as well, so it is not limited by
-// the lifetime of present ones; the limit only guards against overflow.
-Time parse_retry_after(std::string_view text) {
-  return static_cast<Time>(std::ceil(std::min(parse_decimal(text).value_or(0), kMaxRetryAfterSeconds) * 1e6));
+std::string address_text(const HostConnection& connection) {
+  Error error;
+  const tcp::endpoint address = connection.socket.remote_endpoint(error);
+  return error ? "unknown" : address.address().to_string() + ":" + std::to_string(address.port());
 }
 
 std::string_view view(boost::beast::string_view text) { return {text.data(), text.size()}; }
 
-// A report with any malformed field is dropped as a whole: an unreadable field would be taken for a limit or
-// load of zero.
-std::vector<float> parse_report(std::string_view text, const std::vector<std::string>& fields) {
-  if (fields.empty() || text.empty()) return {};
-  std::vector<float> out(fields.size(), std::numeric_limits<float>::quiet_NaN());  // not reported
-  while (!text.empty()) {
-    const std::string_view item = text.substr(0, text.find(','));
-    text.remove_prefix(std::min(text.size(), item.size() + 1));
-    const size_t equals = item.find('=');
-    if (equals == std::string_view::npos) return {};
-    const auto field = std::find(fields.begin(), fields.end(), item.substr(0, equals));
-    if (field == fields.end()) continue;
-    const auto value = parse_decimal(item.substr(equals + 1));
-    if (!value || *value > kMaxReportedValue) return {};
-    out[static_cast<size_t>(field - fields.begin())] = static_cast<float>(*value);
-  }
-  return out;
-}
-
 }  // namespace
 
 // One request and its reply on one connection. The reply is read from the request's first byte on: a host may
@@ -101,17 +55,16 @@
 class Upstream::Exchange : public std::enable_shared_from_this<Exchange> {
  public:
   Exchange(Upstream& owner, Call call, bool probe)
-      : owner_(&owner), call_(std::move(call)), is_probe_(probe), socket_(owner.io_), timer_(owner.io_) {}
+      : owner_(&owner), call_(std::move(call)), is_probe_(probe), timer_(owner.io_) {}
 
   std::tuple<bool, uint64_t, int> key() const { return {is_probe_, call_.id, call_.attempt}; }
 
   void start() {
     started_at_ = steady_now();
     deadline_ = started_at_ + call_.timeout;
-    if (auto idle = owner_->take_idle(call_.endpoint, call_.address)) {
-      socket_ = std::move(idle->socket);
-      return wait_until_settled(idle->since + kSettleTime);
-    }
+    // A probe's reply decides on many messages, so it goes out on a new connection.
+    if (!is_probe_) connection_ = owner_->take_idle(call_);
+    if (connection_) return wait_until_settled(connection_->idle_since + kSettleTime);
     connect();
   }
 
@@ -120,8 +73,7 @@
   void detach() {
     finished_ = true;
     owner_ = nullptr;
-    Error ignored;
-    socket_.close(ignored);
+    close_socket();
     timer_.cancel();
   }
 
@@ -141,23 +93,18 @@
   }
 
   void reuse_connection() {
-    if (is_usable(socket_)) {
-      set_timer(deadline_);
-      return write();
-    }
-    Error ignored;
-    socket_.close(ignored);
-    connect();
+    set_timer(deadline_);
+    write();
   }
 
   void connect() {
-    new_connection_ = true;
+    connection_ = owner_->make_connection(call_.endpoint);
     set_timer(std::min(deadline_, started_at_ + owner_->limits_.connect_timeout));
-    socket_.async_connect(call_.address, [self = shared_from_this()](const Error& error) {
+    connection_->socket.async_connect(call_.address, [self = shared_from_this()](const Error& error) {
       if (self->finished_) return;
       if (error) return self->finish(Outcome::kConnectFailed);
       Error ignored;
-      self->socket_.set_option(tcp::no_delay(true), ignored);
+      self->connection_->socket.set_option(tcp::no_delay(true), ignored);
       self->set_timer(self->deadline_);
       self->write();
     });
@@ -183,8 +130,41 @@
     abort_outcome_ = outcome;
     // Closes the socket, as cancelling is not enough: between two parts of a long write there is nothing to
     // cancel, and the next part might wait for the host for ever.
+    close_socket();
+  }
+
+  void close_socket() {
     Error ignored;
-    socket_.close(ignored);
+    if (connection_) connection_->socket.close(ignored);
+  }
+
+  bool is_first_request() const { return connection_->requests <= 1; }
+
+  // Bytes that arrive before the request is written do not answer it. On a used connection they are surplus
+  // of an earlier call, and the request goes out on a new one. On a new connection the host turns the
+  // connection away: the request is not written. Returns whether it may be written.
+  bool check_input_before_request() {
+    std::string bytes;
+    const Input input = read_input(*connection_, bytes);
+    if (input == Input::kNone) return true;
+    if (connection_->requests > 0) {
+      if (input == Input::kSurplus) owner_->on_surplus(*connection_, bytes);
+      owner_->pool_.close(connection_);
+      connect();
+    } else if (input == Input::kEnd) {
+      finish(Outcome::kConnectFailed);
+    } else {
+      read_bytes(bytes);
+    }
+    return false;
+  }
+
+  void read_bytes(const std::string& bytes) {
+    const size_t count = std::min(bytes.size(), buffer_.max_size());
+    std::memcpy(buffer_.prepare(count).data(), bytes.data(), count);
+    buffer_.commit(count);
+    bytes_read_ += count;
+    on_reply_bytes();
   }
 
   void write() {
@@ -200,7 +180,10 @@
       reusable_ = true;
       return finish(Outcome::kNotStarted);
     }
+    if (!check_input_before_request()) return;
     request_state_ = RequestState::kPartlySent;
+    refusal_is_certain_ = owner_->is_refusal_certain(*connection_);
+    ++connection_->requests;
     request_.version(11);
     request_.method(is_probe_ ? http::verb::get : http::verb::post);
     request_.target(is_probe_ ? "/-/healthy" : "/events");
@@ -213,7 +196,7 @@
       request_.body() = std::move(call_.body);
       request_.prepare_payload();
     }
-    http::async_write(socket_, request_, [self = shared_from_this()](const Error& error, size_t) {
+    http::async_write(connection_->socket, request_, [self = shared_from_this()](const Error& error, size_t) {
       if (self->finished_) return;
       self->request_state_ = error ? RequestState::kFailed : RequestState::kSent;
       if (self->abort_outcome_) return self->finish(self->outcome_without_reply(*self->abort_outcome_));
@@ -227,19 +210,21 @@
   }
 
   void read() {
-    socket_.async_read_some(buffer_.prepare(kReadBytes),
-                            [self = shared_from_this()](const Error& error, size_t count) {
-                              if (self->finished_) return;
-                              self->buffer_.commit(count);
-                              self->bytes_read_ += count;
-                              if (count > 0) return self->on_reply_bytes();
-                              self->on_connection_ended(error);
-                            });
+    connection_->socket.async_read_some(buffer_.prepare(kReadBytes),
+                                        [self = shared_from_this()](const Error& error, size_t count) {
+                                          if (self->finished_) return;
+                                          self->buffer_.commit(count);
+                                          self->bytes_read_ += count;
+                                          if (count > 0) return self->on_reply_bytes();
+                                          self->on_connection_ended(error);
+                                        });
   }
 
   // Once a reply has begun it has little time to complete: a host that sends a malformed one may keep the
   // connection open or send for ever.
   void on_reply_bytes() {
+    if (!reply_started_) drop_line_breaks();
+    if (buffer_.size() == 0) return read();
     if (!reply_started_) {
       reply_started_ = true;
       set_timer(std::min(deadline_, steady_now() + kReplyCompletionTimeout));
@@ -249,6 +234,12 @@
     read();
   }
 
+  // Line breaks ahead of a reply are no part of it.
+  void drop_line_breaks() {
+    const std::string_view text(static_cast<const char*>(buffer_.data().data()), buffer_.size());
+    buffer_.consume(std::min(text.find_first_not_of("\r\n"), text.size()));
+  }
+
   // False: malformed. The buffer keeps the status line until the parser consumes it.
   bool parse_reply() {
     while (true) {
@@ -260,7 +251,7 @@
       if (!status_line_parsed_) {
         const std::string_view head(static_cast<const char*>(buffer_.data().data()), buffer_.size());
         status_ok_ = has_status_200(head);
-        if (!kVersion.starts_with(head.substr(0, kVersion.size()))) return false;
+        if (!kHttpVersion.starts_with(head.substr(0, kHttpVersion.size()))) return false;
       }
       Error error;
       const size_t consumed = parser_->put(buffer_.data(), error);
@@ -301,7 +292,9 @@
 
   void on_reply_complete() {
     const auto& reply = parser_->get();
-    reusable_ = parser_->keep_alive() && buffer_.size() == 0 && request_state_ == RequestState::kSent;
+    drop_line_breaks();
+    reply_complete_ = true;
+    keep_alive_ = parser_->keep_alive() && buffer_.size() == 0 && request_state_ == RequestState::kSent;
     load_report_ = parse_report(view(reply["X-Load-Report"]), owner_->report_fields_);
     switch (reply.result_int()) {
       case 200:
@@ -317,7 +310,7 @@
         if (view(reply["X-Egress-Full"]) == "1") return finish(Outcome::kNotStarted);
         // Refused and closed on a new connection: the host has reached its limit of connections. If it is
         // over a rate limit or its queue is full, it keeps the connection open.
-        connection_limit_reached_ = new_connection_ && !parser_->keep_alive();
+        connection_limit_reached_ = is_first_request() && !parser_->keep_alive();
         return finish(Outcome::kRefused);
       case 504:
         return finish(Outcome::kNotStarted);
@@ -331,12 +324,21 @@
     timer_.cancel();
     const auto self = shared_from_this();
     owner_->exchanges_.erase(key());
-    if (reusable_) {
-      owner_->keep_idle(call_.endpoint, std::move(socket_));
-    } else {
-      Error ignored;
-      socket_.close(ignored);
+    // Whatever came, the host cannot have executed what was not written.
+    if (request_state_ == RequestState::kNotSent && reply_started_ && outcome != Outcome::kRefused) {
+      outcome = Outcome::kConnectFailed;
+      final_ = false;
+    }
+    const bool delivered = outcome == Outcome::kOk;
+    const bool unverified = reply_started_ && !is_first_request() && (delivered || !refusal_is_certain_);
+    if (reply_started_ && !delivered) connection_->all_delivered = false;
+    if (unverified && final_) {
+      owner_->unverified_.add(connection_->id, call_.endpoint, {call_.call_id, steady_now(), deadline_});
+      ++owner_->counters_.unverified_replies;
     }
+    if (!final_ && request_state_ != RequestState::kNotSent)
+      owner_->report(owner_->unverified_.on_call_failed(connection_->id), "a call after them failed");
+    release_connection(unverified);
     // The host's other idle connections may be dead as well. A call lost on one may have been executed, while
     // a call that cannot connect was not.
     if (outcome == Outcome::kTimeout || outcome == Outcome::kReset || outcome == Outcome::kConnectFailed) {
@@ -352,6 +354,7 @@
     out.endpoint = call_.endpoint;
     out.outcome = outcome;
     out.final = final_;
+    out.reply_unverified = unverified;
     out.duration = took;
     out.retry_after = retry_after_;
     out.connection_limit_reached = connection_limit_reached_;
@@ -359,12 +362,31 @@
     owner_->on_attempt_ended_(out, request_state_ != RequestState::kNotSent);
   }
 
+  // A call that an unverified reply ended without delivering it may be sent again, so that this one has to be
+  // over: the connection is shut down, and read from as long as the true reply may come.
+  void release_connection(bool unverified) {
+    const bool not_written = request_state_ == RequestState::kNotSent && !reply_started_;
+    if (reply_complete_ && buffer_.size() > 0) {
+      const auto bytes = static_cast<const char*>(buffer_.data().data());
+      owner_->on_surplus(*connection_, std::string(bytes, buffer_.size()));
+      owner_->pool_.close(connection_);
+    } else if (not_written ? reusable_ : keep_alive_ && (final_ || !unverified)) {
+      owner_->keep_idle(connection_, is_probe_);
+    } else if (reply_complete_ && unverified && request_state_ == RequestState::kSent) {
+      if (!final_) ++owner_->counters_.calls_given_up;
+      const Time true_reply_by = std::max(deadline_, steady_now() + UnverifiedReplies::kQuietTime);
+      owner_->drain(connection_, true_reply_by, !final_);
+    } else {
+      owner_->pool_.close(connection_);
+    }
+  }
+
   enum class RequestState { kNotSent, kPartlySent, kSent, kFailed };
 
   Upstream* owner_;
   Call call_;
   bool is_probe_;
-  tcp::socket socket_;
+  ConnectionPool::ConnectionPtr connection_;
   boost::asio::steady_timer timer_;
   http::request<http::string_body> request_;
   boost::beast::flat_buffer buffer_{kMaxBodyBytes};
@@ -375,9 +397,11 @@
   RequestState request_state_ = RequestState::kNotSent;
   std::optional<Outcome> abort_outcome_;  // set if aborted while the write was pending
   bool finished_ = false;
-  bool new_connection_ = false;  // as opposed to an idle one that was reused
   bool connection_limit_reached_ = false;
-  bool reusable_ = false;            // the connection may be reused
+  bool refusal_is_certain_ = false;
+  bool reusable_ = false;  // nothing was written: the connection is as it was
+  bool reply_complete_ = false;
+  bool keep_alive_ = false;          // after a complete reply: the host keeps the connection open
   bool reply_started_ = false;       // a byte of the reply has arrived
   bool status_line_parsed_ = false;  // the parser has consumed the status line
   bool status_ok_ = false;           // the status line says 200
@@ -389,7 +413,7 @@
 
 Upstream::Upstream(boost::asio::io_context& io, Limits limits, std::vector<std::string> report_fields,
                    MayStart may_start, MayProbe may_probe, AttemptCallback on_attempt_ended,
-                   ProbeCallback on_probe_ended)
+                   ProbeCallback on_probe_ended, ReplyCallbacks reply_callbacks)
     : io_(io),
       limits_(limits),
       report_fields_(std::move(report_fields)),
@@ -397,6 +421,8 @@
       may_probe_(std::move(may_probe)),
       on_attempt_ended_(std::move(on_attempt_ended)),
       on_probe_ended_(std::move(on_probe_ended)),
+      reply_callbacks_(std::move(reply_callbacks)),
+      pool_(limits.idle_timeout - kIdleCloseMargin, pool_hooks()),
       sweep_timer_(io) {
   sweep();
 }
@@ -405,6 +431,24 @@
   for (const auto& [key, exchange] : exchanges_) exchange->detach();
 }
 
+ConnectionPool::Hooks Upstream::pool_hooks() {
+  ConnectionPool::Hooks hooks;
+  hooks.on_surplus = [this](const HostConnection& connection, const std::string& bytes) {
+    on_surplus(connection, bytes);
+  };
+  hooks.on_closed = [this](const HostConnection& connection) {
+    report(unverified_.on_ended(connection.id, steady_now()), "their connection ended early");
+  };
+  hooks.may_reuse = [this](const HostConnection& connection, bool for_certain_refusal) {
+    return for_certain_refusal ? is_refusal_certain(connection)
+                               : unverified_.may_reuse(connection.id, steady_now());
+  };
+  hooks.on_quiet = [this](const HostConnection& connection) {
+    report_confirmed(unverified_.confirm_quiet(connection.id, steady_now()));
+  };
+  return hooks;
+}
+
 void Upstream::call(Call call) { start(std::make_shared<Exchange>(*this, std::move(call), false)); }
 
 void Upstream::probe(const Endpoint& endpoint, const tcp::endpoint& address) {
@@ -418,7 +462,7 @@
 
 void Upstream::start(std::shared_ptr<Exchange> exchange) {
   exchanges_.emplace(exchange->key(), exchange);
-  while (idle_count_ > 0 && exchanges_.size() + idle_count_ > limits_.max_connections) close_oldest_idle();
+  while (pool_.size() > 0 && exchanges_.size() + pool_.size() > limits_.max_connections) pool_.close_oldest();
   exchange->start();
 }
 
@@ -433,55 +477,107 @@
   exchange->cancel();
 }
 
-void Upstream::close_idle(const Endpoint& endpoint) {
-  const auto it = idle_connections_.find(endpoint);
-  if (it == idle_connections_.end()) return;
-  idle_count_ -= it->second.size();
-  idle_connections_.erase(it);
-}
+void Upstream::close_idle(const Endpoint& endpoint) { pool_.close_host(endpoint); }
 
-std::optional<Upstream::IdleConnection> Upstream::take_idle(const Endpoint& endpoint,
-                                                            const tcp::endpoint& address) {
-  const auto it = idle_connections_.find(endpoint);
-  if (it == idle_connections_.end()) return {};
-  while (!it->second.empty()) {
-    IdleConnection last = std::move(it->second.back());
-    it->second.pop_back();
-    --idle_count_;
-    Error error;
-    const bool same_address = last.socket.remote_endpoint(error) == address && !error;
-    const bool recently_used = steady_now() - last.since < limits_.idle_timeout - kIdleCloseMargin;
-    if (same_address && recently_used && is_usable(last.socket)) return last;
-  }
-  return {};
+ConnectionPool::ConnectionPtr Upstream::make_connection(const Endpoint& endpoint) {
+  ++counters_.new_connections;
+  return std::make_shared<HostConnection>(io_, ++last_connection_id_, endpoint);
 }
 
-void Upstream::keep_idle(const Endpoint& endpoint, tcp::socket socket) {
-  std::vector<IdleConnection>& list = idle_connections_[endpoint];
-  if (list.size() >= kMaxIdlePerHost || exchanges_.size() + idle_count_ >= limits_.max_connections) return;
-  list.push_back({std::move(socket), steady_now()});
-  ++idle_count_;
+// A refusal frees a message that may not be repeated to be sent again, so it has to be certain.
+ConnectionPool::ConnectionPtr Upstream::take_idle(const Call& call) {
+  if (!unverified_.may_reuse_host(call.endpoint, steady_now())) return nullptr;
+  ConnectionPool::ConnectionPtr connection = pool_.take(call.endpoint, call.address, !call.may_repeat);
+  if (connection) ++counters_.reused_connections;
+  return connection;
 }
 
-// Makes room for a call: closes the least recently used idle connection.
-void Upstream::close_oldest_idle() {
-  const auto oldest =
-      std::min_element(idle_connections_.begin(), idle_connections_.end(), [](const auto& a, const auto& b) {
-        return !a.second.empty() && (b.second.empty() || a.second.front().since < b.second.front().since);
-      });
-  oldest->second.erase(oldest->second.begin());
-  --idle_count_;
+// Whether a refusal that is read for the next request answers that request. So it is on a connection that has
+// been quiet since its last reply, if all replies so far delivered their messages: a second copy of one of
+// those is no refusal.
+bool Upstream::is_refusal_certain(const HostConnection& connection) const {
+  return connection.requests == 0 || (connection.all_delivered && !unverified_.has_replies(connection.id));
 }
 
-void Upstream::sweep() {
+bool Upstream::has_room() const { return exchanges_.size() + pool_.size() < limits_.max_connections; }
+
+// `only_one`: probes, which always connect, would otherwise fill the host's table with idle connections.
+void Upstream::keep_idle(ConnectionPool::ConnectionPtr connection, bool only_one) {
   const Time now = steady_now();
-  for (auto& [endpoint, list] : idle_connections_) {
-    idle_count_ -= std::erase_if(list, [&](IdleConnection& idle) {
-      return now - idle.since >= limits_.idle_timeout - kIdleCloseMargin || !is_usable(idle.socket);
+  const bool wanted = unverified_.may_reuse_host(connection->endpoint, now) &&
+                      !(only_one && pool_.has_usable(connection->endpoint));
+  if (wanted && has_room()) return pool_.keep(std::move(connection));
+  if (unverified_.has_replies(connection->id))
+    return drain(std::move(connection), now + limits_.idle_timeout, false);
+  pool_.close(std::move(connection));
+}
+
+void Upstream::drain(ConnectionPool::ConnectionPtr connection, Time close_at, bool stop_sending) {
+  if (has_room()) return pool_.drain(std::move(connection), close_at, stop_sending);
+  pool_.close(std::move(connection));
+}
+
+void Upstream::on_surplus(const HostConnection& connection, const std::string& bytes) {
+  ++counters_.surplus_replies;
+  const std::vector<std::string> doubtful = unverified_.on_surplus(connection.endpoint, steady_now());
+  if (unverified_.is_new_suspect()) {
+    std::fprintf(stderr,
+                 "host %s: %zu bytes that answer no request, after %d requests on connection %llu: each of "
+                 "its connections carries one request for %lld s\n",
+                 address_text(connection).c_str(), bytes.size(), connection.requests,
+                 static_cast<unsigned long long>(connection.id),
+                 static_cast<long long>(UnverifiedReplies::kNoReuseTime / kSecond));
+  }
+  report_doubtful(doubtful, "their host sent bytes that answer no request");
+  const Time retry_after = longest_retry_after(bytes);
+  if (retry_after > 0 && reply_callbacks_.on_retry_after) {
+    boost::asio::post(io_, [this, endpoint = connection.endpoint, retry_after] {
+      reply_callbacks_.on_retry_after(endpoint, retry_after);
     });
   }
-  std::erase_if(idle_connections_, [](const auto& entry) { return entry.second.empty(); });
-  sweep_timer_.expires_after(std::chrono::milliseconds(250));
+}
+
+// Posted, as the attempt's own end is reported first.
+void Upstream::report_confirmed(std::vector<std::string> ids) {
+  if (ids.empty()) return;
+  counters_.confirmed_replies += ids.size();
+  if (!reply_callbacks_.on_confirmed) return;
+  ++posted_verdicts_;
+  boost::asio::post(io_, [this, ids = std::move(ids)] {
+    --posted_verdicts_;
+    for (const std::string& id : ids) reply_callbacks_.on_confirmed(id);
+  });
+}
+
+void Upstream::report_doubtful(std::vector<std::string> ids, const char* reason) {
+  if (ids.empty()) return;
+  counters_.doubtful_replies += ids.size();
+  const Time now = steady_now();
+  if (doubt_logged_at_ == 0 || now - doubt_logged_at_ >= kDoubtLogInterval) {
+    doubt_logged_at_ = now;
+    std::fprintf(
+        stderr, "messages ended by replies that are in doubt, as %s: %zu, the first %s (%llu so far)\n",
+        reason, ids.size(), ids.front().c_str(), static_cast<unsigned long long>(counters_.doubtful_replies));
+  }
+  if (!reply_callbacks_.on_doubtful) return;
+  ++posted_verdicts_;
+  boost::asio::post(io_, [this, ids = std::move(ids)] {
+    --posted_verdicts_;
+    for (const std::string& id : ids) reply_callbacks_.on_doubtful(id);
+  });
+}
+
+void Upstream::report(UnverifiedReplies::Verdicts verdicts, const char* reason) {
+  report_confirmed(std::move(verdicts.confirmed));
+  report_doubtful(std::move(verdicts.doubtful), reason);
+}
+
+void Upstream::end_unverified() { report(unverified_.on_all_ended(steady_now()), "the relay ends"); }
+
+void Upstream::sweep() {
+  pool_.sweep();
+  unverified_.forget_old_suspects(steady_now());
+  sweep_timer_.expires_after(kSweepInterval);
   sweep_timer_.async_wait([this](const Error& error) {
     if (!error) sweep();
   });
--- a/relay/upstream.h
+++ b/relay/upstream.h
@@ -10,8 +10,10 @@
 #include <utility>
 #include <vector>
 
+#include "connection_pool.h"
 #include "directory.h"
 #include "message.h"
+#include "unverified_replies.h"
 
 namespace firspool::relay {
 
@@ -24,7 +26,8 @@
   std::string key;
   std::string body;
   Time timeout = 0;
-  Time start_by = 0;  // the first byte must be written by this time
+  Time start_by = 0;       // the first byte must be written by this time
+  bool may_repeat = true;  // a second execution of the message does no harm
 };
 
 class Upstream {
@@ -42,10 +45,27 @@
   // `started`: MayStart allowed the call, so that bytes of it may have been written.
   using AttemptCallback = std::function<void(const AttemptEnded&, bool started)>;
   using ProbeCallback = std::function<void(const ProbeEnded&)>;
+  // What becomes of messages whose attempt ended with `final` and `reply_unverified`, by X-Call-Id: each is
+  // reported once, after its attempt.
+  struct ReplyCallbacks {
+    std::function<void(const std::string& call_id)> on_confirmed;
+    std::function<void(const std::string& call_id)> on_doubtful;  // it may not have been delivered
+    // A reply that answers no known request asked to wait.
+    std::function<void(const Endpoint&, Time retry_after)> on_retry_after;
+  };
+  struct Counters {
+    uint64_t new_connections = 0;
+    uint64_t reused_connections = 0;  // times that an idle connection was used again
+    uint64_t surplus_replies = 0;     // times that bytes came that answer no request
+    uint64_t calls_given_up = 0;      // by a reply on a used connection that did not deliver their message
+    uint64_t unverified_replies = 0;  // that ended a message; confirmed or in doubt later
+    uint64_t confirmed_replies = 0;
+    uint64_t doubtful_replies = 0;
+  };
 
   Upstream(boost::asio::io_context& io, Limits limits, std::vector<std::string> report_fields,
            MayStart may_start, MayProbe may_probe, AttemptCallback on_attempt_ended,
-           ProbeCallback on_probe_ended);
+           ProbeCallback on_probe_ended, ReplyCallbacks reply_callbacks = {});
   ~Upstream();
 
   void call(Call call);
@@ -55,18 +75,25 @@
   // Asks MayStart again for the calls that it deferred.
   void retry_deferred();
   size_t in_flight() const { return exchanges_.size(); }
+  void end_unverified();  // at the end of the process, as if all connections ended
+  bool has_unverified() const { return !unverified_.empty() || posted_verdicts_ > 0; }
+  const Counters& counters() const { return counters_; }
 
  private:
   class Exchange;
-  struct IdleConnection {
-    tcp::socket socket;
-    Time since = 0;
-  };
 
-  std::optional<IdleConnection> take_idle(const Endpoint& endpoint, const tcp::endpoint& address);
-  void keep_idle(const Endpoint& endpoint, tcp::socket socket);
+  ConnectionPool::Hooks pool_hooks();
+  ConnectionPool::ConnectionPtr make_connection(const Endpoint& endpoint);
+  ConnectionPool::ConnectionPtr take_idle(const Call& call);
+  bool is_refusal_certain(const HostConnection& connection) const;
+  bool has_room() const;
+  void keep_idle(ConnectionPool::ConnectionPtr connection, bool only_one);
+  void drain(ConnectionPool::ConnectionPtr connection, Time close_at, bool stop_sending);
+  void on_surplus(const HostConnection& connection, const std::string& bytes);
+  void report(UnverifiedReplies::Verdicts verdicts, const char* reason);
+  void report_confirmed(std::vector<std::string> ids);
+  void report_doubtful(std::vector<std::string> ids, const char* reason);
   void start(std::shared_ptr<Exchange> exchange);
-  void close_oldest_idle();
   void sweep();
 
   boost::asio::io_context& io_;
@@ -76,10 +103,15 @@
   MayProbe may_probe_;
   AttemptCallback on_attempt_ended_;
   ProbeCallback on_probe_ended_;
+  ReplyCallbacks reply_callbacks_;
+  Counters counters_;
+  UnverifiedReplies unverified_;
+  ConnectionPool pool_;
   boost::asio::steady_timer sweep_timer_;
   uint64_t last_probe_id_ = 0;
-  size_t idle_count_ = 0;
-  std::map<Endpoint, std::vector<IdleConnection>> idle_connections_;  // the most recently used last
+  ConnectionId last_connection_id_ = 0;
+  size_t posted_verdicts_ = 0;  // not yet reported
+  Time doubt_logged_at_ = 0;    // 0: never
   std::map<std::tuple<bool, uint64_t, int>, std::shared_ptr<Exchange>> exchanges_;
   std::vector<std::shared_ptr<Exchange>> deferred_;  // waiting for retry_deferred
 };
--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -184,6 +184,10 @@
     monitor(route);
   }
   void handle(const ShutdownScheduled& e) { shutdown_at_ = e.at; }
+  void handle(const RetryAfterReceived& e) {
+    const auto host = hosts_.find(e.endpoint);
+    if (host != hosts_.end()) apply_retry_after(e.retry_after, *host->second.route);
+  }
   void handle(const TrialAssignment& e) {
     const auto it = routes_.find({e.destination, Endpoint{}});
     if (it == routes_.end()) return;
@@ -248,10 +252,11 @@
       key_pauses_[message.arrival.key] = {now_ + settings_.in_order_pause, e.id};
     }
     if (e.final || message.withdrawn) return erase_message(e.id);
-    if (e.outcome == Outcome::kNotStarted) return;
+    if (e.outcome == Outcome::kNotStarted && !e.reply_unverified) return;
     message.is_retry = true;
     message.not_before = now_ + random_.between(kMinRetryBackoff, kMaxRetryBackoff);
-    const bool not_executed = e.outcome == Outcome::kRefused || e.outcome == Outcome::kConnectFailed;
+    const bool not_executed =
+        !e.reply_unverified && (e.outcome == Outcome::kRefused || e.outcome == Outcome::kConnectFailed);
     if (not_executed || message.maybe_executed) return;
     message.maybe_executed = true;
     message.maybe_executed_sent = attempt.sent;
@@ -291,7 +296,7 @@
         host.avoid_until = 0;
         return on_served(attempt, route);
       case Outcome::kRefused:
-        apply_retry_after(e, route);
+        apply_retry_after(e.retry_after, route);
         if (e.connection_limit_reached) return on_connection_limit(destination.kind);
         // A host that is draining or removed may refuse any call.
         if (!host.ready) return;
@@ -313,7 +318,7 @@
         return on_unserved(attempt, route, true, false);
       // Any host may send malformed answers: they say nothing about its health.
       case Outcome::kMalformed:
-        return apply_retry_after(e, route);
+        return apply_retry_after(e.retry_after, route);
       case Outcome::kCancelled:
       case Outcome::kNotStarted:
         return;
@@ -321,10 +326,10 @@
   }
 
   // All relays that were asked to wait resume at the end of that wait: the random pause spreads their calls.
-  void apply_retry_after(const AttemptEnded& e, Route& route) {
-    if (e.retry_after <= 0) return;
-    route.retry_after_until = std::max(route.retry_after_until, now_ + e.retry_after + settings_.tick +
-                                                                    random_.between(0, kMaxRetryBackoff));
+  void apply_retry_after(Time retry_after, Route& route) {
+    if (retry_after <= 0) return;
+    route.retry_after_until = std::max(
+        route.retry_after_until, now_ + retry_after + settings_.tick + random_.between(0, kMaxRetryBackoff));
   }
 
   std::optional<double> report_value(const std::vector<float>& report, int index) const {
--- a/tests/rehearsal/checker_test.cpp
+++ b/tests/rehearsal/checker_test.cpp
@@ -201,6 +201,33 @@
   }
 }
 
+TEST(Checker, ANoticeOfFailureAfterASecondAnswerOfItsEndpointIsAllowedAndNoOther) {
+  for (const int endpoint : {1, 2}) {
+    for (const bool returned : {false, true}) {
+      CheckerFixture f;
+      f.accept(1, kSafe);
+      f.end_call(f.call(1), CallEnd::kDelivered);
+      f.advance(1010 * kMs);
+      f.checker.on_second_answer(f.now, 0, endpoint);
+      f.checker.on_notice(f.now, 0, 1, returned, 0);
+      EXPECT_EQ(f.count(Rule::kTwoFinalAnswers), endpoint == 1 && !returned ? 0u : 1u);
+    }
+  }
+}
+
+TEST(Checker, ANoticeOfFailureAfterAFailedCallOfItsEndpointIsAllowedAndNoOther) {
+  for (const int endpoint : {1, 2}) {
+    CheckerFixture f;
+    f.accept(1, kSafe);
+    f.end_call(f.call(1), CallEnd::kDelivered);
+    f.accept(2, kSafe);
+    f.advance(1010 * kMs);
+    f.end_call(f.call(2, endpoint), CallEnd::kError);
+    f.checker.on_notice(f.now, 0, 1, false, 0);
+    EXPECT_EQ(f.count(Rule::kTwoFinalAnswers), endpoint == 1 ? 0u : 1u);
+  }
+}
+
 TEST(Checker, ANoticeLongAfterTheDeliveryIsTwoAnswersOneThatCrossesItIsNot) {
   for (const Time later : {990 * kMs, 1010 * kMs}) {
     CheckerFixture f;
--- a/tests/rehearsal/planted_test.cpp
+++ b/tests/rehearsal/planted_test.cpp
@@ -206,6 +206,13 @@
 
 TEST(SecondAnswers, After50MsEndNoOtherCall) { expect_second_answers_harmless("50"); }
 TEST(SecondAnswers, Within300MsEndNoOtherCall) { expect_second_answers_harmless("[0, 300]"); }
+TEST(SecondAnswers, AfterASecondEndNoOtherCall) { expect_second_answers_harmless("1000"); }
+TEST(SecondAnswers, InHalvesEndNoOtherCall) { expect_second_answers_harmless("[0, 100]", "part = 0.5\n"); }
+TEST(SecondAnswers, AcrossAKillAndATerminationEndNoOtherCall) {
+  expect_second_answers_harmless("[0, 300]",
+                                 "[[event]]\nat_s = 2\ndo = \"kill\"\nrelay = 0\n"
+                                 "[[event]]\nat_s = 3.5\ndo = \"terminate\"\nrelay = 0\n");
+}
 
 std::string test_name(std::string name) {
   std::replace(name.begin(), name.end(), '-', '_');
