--- a/review/common/rig.py
+++ b/review/common/rig.py
@@ -456,7 +456,7 @@
             record("the rule held")
             print("the rule held")
         status = 1 if breaches else 0
-    except (CannotRun, OSError, asyncio.TimeoutError) as error:
+    except Exception as error:  # CannotRun, a time-out, or a fault of the test itself
         record("could not run: %r" % error)
         print("could not run: %r" % error)
     finally:
