A list that replaces a destination's hosts no longer ends its outage

Each of three relays logs "up, only a host that is being removed failed" in the millisecond of the list and sends all that it holds: 25 calls in 3 s where 13.8 are allowed. Cause: discount_endpoint in src/policy.cpp. As the last host with unserved calls drained or went, the outage and the streak were cleared, on the ground that a leaving host refuses before the list says so. Change: the list takes back the pace that refusals of such hosts taught, and nothing else. Only a served call ends an outage. A trial call or probe in flight at a removed host holds up none at its replacement (it blocked them for up to its time-out).

The test RefusalsOfAHostBeingRemovedAreNoOutageOfItsDestination asserted the fault: at least four calls at once on the new host after six seconds in which nothing was served. In its place AnOutageOutlivesTheHostsThatFailed holds each kind of failure and each form of list to one call at once and to the slow start's budget over 3 s, and still asks for four calls in that time; its second half stands as AnOutageOutlivesOneOfTheHostsThatFailed.

--- a/emulator/days.cpp
+++ b/emulator/days.cpp
@@ -196,6 +196,7 @@
     d.failing_to = d.down_from;
     d.failing_share = within(0.37, 1);
   }
+  if (variant.hosts_replaced) d.hosts_replaced_at = d.down_to + time(-3, 0.5);
   return model;
 }
 
--- a/emulator/fleet.cpp
+++ b/emulator/fleet.cpp
@@ -11,6 +11,14 @@
 
 using namespace firspool;
 
+namespace {
+
+// Above the addresses of all hosts that a model starts with.
+constexpr uint32_t kReplacementAddressOffset = 1'000'000;
+constexpr Time kListUpdateSpread = kSecond / 2;
+
+}  // namespace
+
 struct FleetEmulator::Relay {
   size_t number = 0;
   std::unique_ptr<Policy> policy;
@@ -130,6 +138,7 @@
     counts_[d.number] = {};
     for (const Endpoint& endpoint : d.hosts) hosts_[endpoint].destination = d.number;
     if (d.load > 0) schedule(0, [this, &d] { submit(d); });
+    if (d.hosts_replaced_at > 0) schedule(d.hosts_replaced_at, [this, &d] { replace_hosts(d); });
     if (d.down_to > d.down_from && d.outage_kind == OutageKind::kConnectionsRefused) {
       // Resets the calls in flight at the destination.
       schedule(d.down_from, [this, &d] {
@@ -203,6 +212,25 @@
   for (const DestinationModel& d : model_.destinations) evaluate_slow_start(d);
 }
 
+// Removes the destination's hosts and adds as many new ones with one update of the list.
+void FleetEmulator::replace_hosts(const DestinationModel& d) {
+  std::vector<Member> update;
+  for (const Endpoint& endpoint : d.hosts) {
+    Member old_host;
+    old_host.endpoint = endpoint;
+    old_host.state = HostState::kRemoved;
+    old_host.kind = d.kind;
+    old_host.destination = d.number;
+    old_host.weight = d.weight;
+    Member new_host = old_host;
+    new_host.endpoint.address += kReplacementAddressOffset;
+    new_host.state = HostState::kReady;
+    update.push_back(old_host);
+    update.push_back(new_host);
+  }
+  update_members(std::move(update), kListUpdateSpread);
+}
+
 // The relay chosen by the load balancer, or the next one that accepts messages.
 FleetEmulator::Relay* FleetEmulator::choose_relay() {
   const size_t first = load_balancer_(random_);
--- a/emulator/fleet.h
+++ b/emulator/fleet.h
@@ -49,6 +49,9 @@
   Time down_from = 0;                // the outage begins
   Time down_to = 0;                  // it serves again from this time, in slow start
   OutageKind outage_kind = OutageKind::kConnectionsRefused;
+  // From this time the host list has as many new hosts in place of `hosts`; 0: never. The old ones behave
+  // like the new ones, for relays that do not know the list yet.
+  Time hosts_replaced_at = 0;
   double outage_retry_after_share = 0;  // kCallsRefused: share of the refusals that tell when the outage ends
   Time failing_from = 0;                // in this interval some calls are answered with an error
   Time failing_to = 0;
@@ -167,6 +170,7 @@
 
   double random_fraction() { return std::uniform_real_distribution<double>(0, 1)(random_); }
   void submit(const DestinationModel& destination);
+  void replace_hosts(const DestinationModel& destination);
   Relay* choose_relay();
   void start(Relay& relay, bool first);
   bool may_repeat(const Relay& relay, uint64_t id) const;
--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -75,7 +75,7 @@
       host.ready = member.state == HostState::kReady;
       host.removed = member.state == HostState::kRemoved;
       if (host.removed) removed_hosts_.insert(member.endpoint);
-      if (member.state == HostState::kDraining) discount_endpoint(*host.route, member.endpoint);
+      if (member.state == HostState::kDraining) release_route(host);
       hosts_by_destination_[member.destination][member.endpoint] = &host;
       Destination& destination = destinations_[member.destination];
       destination.kind = member.kind;
@@ -85,7 +85,7 @@
     }
     // This includes hosts that a full list no longer contains.
     for (const Endpoint& endpoint : removed_hosts_) {
-      if (const Host& host = hosts_.at(endpoint); host.removed) discount_endpoint(*host.route, endpoint);
+      if (Host& host = hosts_.at(endpoint); host.removed) release_route(host);
     }
   }
 
@@ -218,9 +218,11 @@
   void handle(const ProbeEnded& e) {
     const auto it = hosts_.find(e.endpoint);
     if (it == hosts_.end()) return;
-    Route& route = *it->second.route;
-    route.probe_in_flight = it->second.probe_in_flight = false;
-    route.probe_ok = e.ok;
+    Host& host = it->second;
+    host.probe_in_flight = false;
+    if (!host.ready) return;  // its route was released
+    host.route->probe_in_flight = false;
+    host.route->probe_ok = e.ok;
   }
 
   void handle(const AttemptEnded& e) {
@@ -502,16 +504,33 @@
     route.probation_enforced = false;
   }
 
-  // A host that is being removed refuses and fails calls before the list says so. If all unserved calls of
-  // the streak went to such hosts, they are no evidence of an outage or of a limit: both are discarded.
-  void discount_endpoint(Route& route, const Endpoint& endpoint) {
+  // A host is draining or removed. The streak of unserved calls and an outage stay: the destination may be
+  // out, and come back cold on the hosts that replace this one. Only a served call ends an outage.
+  void release_route(Host& host) {
+    release_trials(host);
+    discount_refusals_at_limit(*host.route, host.member.endpoint);
+  }
+
+  // What is in flight at a host that is being removed says nothing of the hosts that replace it, and holds up
+  // no trial call or probe there.
+  void release_trials(Host& host) {
+    Route& route = *host.route;
+    if (host.probe_in_flight) route.probe_in_flight = false;
+    if (route.trials_in_flight == 0) return;
+    for (auto& [id, attempt] : attempts_) {
+      if (!attempt.is_trial || attempt.endpoint != host.member.endpoint) continue;
+      attempt.is_trial = false;
+      --route.trials_in_flight;
+    }
+  }
+
+  // A host that is being removed refuses calls before the list says so. If all unserved calls of the streak
+  // went to such hosts, their refusals are no evidence of a limit.
+  void discount_refusals_at_limit(Route& route, const Endpoint& endpoint) {
     if (route.streak_endpoints.erase(endpoint) == 0 || !route.streak_endpoints.empty() ||
         route.recovery_start != 0)
       return;
-    if (route.outage_start != 0) log(route, "up, only a host that is being removed failed");
-    route.unserved_streak = route.failures_in_streak = 0;
-    route.outage_start = 0;
-    route.suspected = false;
+    if (route.outage_start != 0) log(route, "all hosts that failed are being removed; the outage stays");
     route.pacing_rate = route.restored_pacing_rate = route.pacing_rate_before_streak;
   }
 
--- a/tests/emulator/cold_test.cpp
+++ b/tests/emulator/cold_test.cpp
@@ -101,6 +101,20 @@
   }
 }
 
+// Guards against relays that forget an outage when the list replaces the hosts of a destination that is out.
+TEST(ColdBudgetOf, AFleetIsKeptWhereTheHostsAreReplacedDuringTheOutage) {
+  for (const OutageKind kind :
+       {OutageKind::kConnectionsRefused, OutageKind::kCallsRefused, OutageKind::kHang}) {
+    const ReturnVariant replaced = {.outage_kind = kind, .hosts_replaced = true};
+    for (const int relays : {3, 46}) {
+      for (uint64_t seed = 1; seed <= std::max<uint64_t>(1, run_count() / 6); ++seed) {
+        EXPECT_EQ(violations_of_return(relays, seed, replaced), 0)
+            << "outage kind " << static_cast<int>(kind) << ", " << relays << " relays, seed " << seed;
+      }
+    }
+  }
+}
+
 INSTANTIATE_TEST_SUITE_P(Relays, ColdBudget, ::testing::Values(3, 20, 30),
                          [](const auto& parameter) { return std::to_string(parameter.param); });
 
--- a/tests/policy_test.cpp
+++ b/tests/policy_test.cpp
@@ -357,44 +357,94 @@
             10);
 }
 
-// A host that is being replaced refuses calls before the list says so. This is no outage of its destination,
-// and the new host gets the waiting messages at once. If a host that stays in the list failed too, the outage
-// stands.
-TEST(Outages, RefusalsOfAHostBeingRemovedAreNoOutageOfItsDestination) {
-  for (const bool other_failed : {false, true}) {
-    Relay relay(basic_settings());
-    uint64_t id = 0;
-    Time now = warm_up(relay, id);  // all calls go to host 1
-    std::vector<Event> events;
-    if (other_failed) events.push_back(members({member(1), member(2)}));
-    std::map<uint64_t, int> attempts;
-    bool out = false;
-    std::set<uint32_t> hosts_called;
-    for (const Time end = now + 6 * kSecond; now < end; now += 100'000) {
-      if (now < end - 2 * kSecond) events.push_back(relay.message(++id, now));
+// Sends ten messages a second to destination 1, all of whose calls end with `outcome`.
+struct FailingPeriod {
+  Relay& relay;
+  uint64_t& last_id;
+  std::map<uint64_t, int> attempts = {};
+  std::vector<Event> events = {};
+  bool outage_seen = false;
+  std::set<uint32_t> hosts_called = {};
+
+  void run(Time from, Time to, Outcome outcome, bool new_messages) {
+    for (Time now = from; now < to; now += 100'000) {
+      if (new_messages) events.push_back(relay.message(++last_id, now));
       const auto actions = relay.step(now, events);
       events.clear();
-      for (const Log& line : all_of<Log>(actions)) out |= line.text.find("outage") != std::string::npos;
+      for (const Log& line : all_of<Log>(actions))
+        outage_seen = outage_seen || line.text.find("outage") != std::string::npos;
       for (const Send& send : all_of<Send>(actions)) {
         hosts_called.insert(send.endpoint.address);
-        const Outcome outcome = other_failed ? Outcome::kConnectFailed : Outcome::kRefused;
         events.push_back(ended(send, attempts[send.id]++, outcome));
       }
     }
-    relay.step(now, events);
-    ASSERT_TRUE(out);
-    ASSERT_EQ(hosts_called.size(), other_failed ? 2u : 1u);
-    const std::vector<Member> list = {member(1, 1, 0, HostState::kDraining), member(3)};
-    auto sends = all_of<Send>(relay.step(now + 500'000, {members(list, MembersChanged::Form::kDelta)}));
-    if (other_failed) {
+    relay.step(to, events);
+    events.clear();
+  }
+};
+
+// Guards against relays that forget an outage when the list replaces the hosts that failed: a destination may
+// be out, be replaced, and come back cold. Of the messages that wait, and twenty more, one is sent as a trial
+// call, and the others within the slow start's budget.
+TEST(Outages, AnOutageOutlivesTheHostsThatFailed) {
+  using Form = MembersChanged::Form;
+  const std::vector<MembersChanged> replacements = {
+      members({member(1, 1, 0, HostState::kDraining), member(3)}, Form::kDelta),
+      members({member(1, 1, 0, HostState::kRemoved), member(3)}, Form::kDelta),
+      members({member(1, 1, 0, HostState::kRemoved), member(3), member(4)}, Form::kDelta),
+      members({member(3)}, Form::kFull)};
+  for (size_t form = 0; form < replacements.size(); ++form) {
+    for (const Outcome outcome :
+         {Outcome::kRefused, Outcome::kConnectFailed, Outcome::kReset, Outcome::kTimeout, Outcome::kError}) {
+      SCOPED_TRACE("form " + std::to_string(form) + ", outcome " + std::to_string(static_cast<int>(outcome)));
+      const Settings s = basic_settings();
+      Relay relay(s);
+      uint64_t id = 0;
+      const Time start = warm_up(relay, id);  // about five calls a second, all to host 1
+      FailingPeriod failing{relay, id};
+      failing.run(start, start + 4 * kSecond, outcome, true);
+      failing.run(start + 4 * kSecond, start + 6 * kSecond, outcome, false);
+      ASSERT_TRUE(failing.outage_seen);
+      const Time replaced = start + 6 * kSecond + 500'000;
+      std::vector<Event> events = {replacements[form]};
+      for (int i = 0; i < 20; ++i) events.push_back(relay.message(++id, replaced));
+      auto sends = all_of<Send>(relay.step(replaced, events));
       EXPECT_LE(sends.size(), 1u);  // a trial call
-    } else {
-      EXPECT_GE(sends.size(), 4u);
-      for (const Send& send : sends) EXPECT_EQ(send.endpoint.address, 3u);
+      size_t sent = sends.size();
+      for (Time now = replaced + 100'000; now < replaced + 3 * kSecond; now += 100'000) {
+        std::vector<Event> served;
+        for (const Send& send : sends) {
+          EXPECT_GE(send.endpoint.address, 3u);
+          served.push_back(ended(send, failing.attempts[send.id]++, Outcome::kOk));
+        }
+        sends = all_of<Send>(relay.step(now, served));
+        sent += sends.size();
+      }
+      const double progress = 3.0 * kSecond / static_cast<double>(s.slow_start);
+      const double budget =
+          s.overload_factor * (s.start_capacity + (1 - s.start_capacity) * progress) * 5 * 3;
+      EXPECT_LE(static_cast<double>(sent), budget);
+      EXPECT_GE(sent, 4u);
     }
   }
 }
 
+// A host that stays in the list failed too, and only one of the two is removed.
+TEST(Outages, AnOutageOutlivesOneOfTheHostsThatFailed) {
+  Relay relay(basic_settings());
+  uint64_t id = 0;
+  const Time start = warm_up(relay, id);
+  FailingPeriod failing{relay, id};
+  failing.events.push_back(members({member(1), member(2)}));
+  failing.run(start, start + 4 * kSecond, Outcome::kConnectFailed, true);
+  failing.run(start + 4 * kSecond, start + 6 * kSecond, Outcome::kConnectFailed, false);
+  ASSERT_TRUE(failing.outage_seen);
+  ASSERT_EQ(failing.hosts_called.size(), 2u);
+  const std::vector<Member> list = {member(1, 1, 0, HostState::kDraining), member(3)};
+  const auto sends = relay.step(start + 6 * kSecond + 500'000, {members(list, MembersChanged::Form::kDelta)});
+  EXPECT_LE(all_of<Send>(sends).size(), 1u);
+}
+
 // When a host fails while it is being removed, its failures are discounted, but the pacing rate learned
 // before them stays.
 TEST(Outages, ARemovedHostLeavesThePacingRateLearnedBefore) {
--- a/tests/slow_start_test.cpp
+++ b/tests/slow_start_test.cpp
@@ -9,6 +9,7 @@
 
 constexpr int kRelays = 16;
 constexpr int kDestination = 7;
+constexpr int kMarkerDestination = 8;    // named by later lists only: who knows it has read them
 constexpr int kMessagesAfterReturn = 3;  // handed to each relay
 constexpr double kCapacity = 8;          // calls a second that the list tells of the destination
 constexpr double kOverloadFactor = 2;
@@ -24,7 +25,15 @@
   return budget < 30 ? budget + 3 * std::sqrt(budget) + 3 : budget + 2 * std::sqrt(budget) + 2;
 }
 
-// A host that serves any number of connections, and resets those on which a call arrives while it is failing.
+// How a host fails the calls that it gets.
+enum class Failure {
+  kNone,
+  kReset,    // the call's connection is reset
+  kSilence,  // the call is read and never answered
+  kRefusal,  // the call is answered with 503
+};
+
+// A host that serves any number of connections, and fails calls on request.
 class FailingHost {
  public:
   FailingHost() {
@@ -47,10 +56,10 @@
   }
 
   std::string address() const { return "127.0.0.1:" + std::to_string(listener_.port()); }
-  void set_failing(bool failing) {
+  void set_failure(Failure failure) {
     const std::lock_guard lock(mutex_);
-    failing_ = failing;
-    served_ = 0;
+    failure_ = failure;
+    served_ = failed_ = 0;
   }
   // Waits until this many calls were served since the last change, or the time is over; the number of calls.
   int wait_for_calls(int count, std::chrono::milliseconds time) {
@@ -58,26 +67,47 @@
     changed_.wait_for(lock, time, [&] { return served_ >= count; });
     return served_;
   }
+  // The same for calls that failed; an unanswered one counts once its caller has given it up.
+  int wait_for_failed_calls(int count) {
+    std::unique_lock lock(mutex_);
+    changed_.wait_for(lock, std::chrono::milliseconds(kDeadlineMs), [&] { return failed_ >= count; });
+    return failed_;
+  }
 
  private:
   void serve(Socket& socket) {
     while (read_request(socket)) {
-      {
-        const std::lock_guard lock(mutex_);
-        if (failing_) return socket.reset();
-        ++served_;
+      const Failure failure = count_call();
+      if (failure == Failure::kReset) return socket.reset();
+      if (failure == Failure::kSilence) {
+        socket.drained_until_closed();
+        return count_failed_call();
       }
-      changed_.notify_all();
-      if (!socket.send("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")) return;
+      const std::string status = failure == Failure::kRefusal ? "503 no" : "200 OK";
+      if (!socket.send("HTTP/1.1 " + status + "\r\nContent-Length: 0\r\n\r\n")) return;
     }
   }
 
+  Failure count_call() {
+    const std::lock_guard lock(mutex_);
+    served_ += failure_ == Failure::kNone;
+    failed_ += failure_ == Failure::kReset || failure_ == Failure::kRefusal;
+    changed_.notify_all();
+    return failure_;
+  }
+  void count_failed_call() {
+    const std::lock_guard lock(mutex_);
+    ++failed_;
+    changed_.notify_all();
+  }
+
   Socket listener_ = Socket::listen();
   std::mutex mutex_;
   std::condition_variable changed_;
   bool stopped_ = false;
-  bool failing_ = false;
+  Failure failure_ = Failure::kNone;
   int served_ = 0;
+  int failed_ = 0;
   std::vector<std::thread> threads_;
   std::thread acceptor_;
 };
@@ -86,9 +116,7 @@
  protected:
   void SetUp() override {
     for (int i = 0; i < kRelays; ++i) {
-      nlohmann::json member = member_json("s-1", host_.address(), kDestination);
-      member["size"] = kCapacity;
-      nlohmann::json config = config_json(discovery_.address(), {member});
+      nlohmann::json config = config_json(discovery_.address(), {listed_host("s-1", host_)});
       config["seed"] = std::to_string(1000 + i);
       nlohmann::json& settings = config["settings"];
       settings["me"] = i;
@@ -102,39 +130,75 @@
     }
   }
 
-  // Hands one message that must not be repeated to each relay.
-  void put_one_each() {
-    for (const auto& relay : relays_) {
-      Socket client = relay->client();
-      char id[17];
-      std::snprintf(id, sizeof id, "%016d", ++last_id_);
-      client.send(
-          put_command(id, "c=unsafe,d=60000,k=5c0f6e1a2b3d4c59,dest=" + std::to_string(kDestination)));
-      ASSERT_EQ(client.read_line(), "+OK");
-    }
+  static nlohmann::json listed_host(const std::string& id, const FailingHost& host,
+                                    const std::string& phase = "active") {
+    nlohmann::json member = member_json(id, host.address(), kDestination, phase);
+    member["size"] = kCapacity;
+    return member;
+  }
+
+  // Hands a message to a relay; returns its reply.
+  std::string put(RelayProcess& relay, const std::string& message_class, int destination) {
+    Socket client = relay.client();
+    char id[17];
+    std::snprintf(id, sizeof id, "%016d", ++last_id_);
+    client.send(put_command(
+        id, "c=" + message_class + ",d=60000,k=5c0f6e1a2b3d4c59,dest=" + std::to_string(destination)));
+    return client.read_line();
+  }
+
+  // By default the messages must not be repeated.
+  void put_one_each(const std::string& message_class = "unsafe") {
+    for (const auto& relay : relays_) ASSERT_EQ(put(*relay, message_class, kDestination), "+OK");
   }
 
   // The outage lasts longer than a failure that the next call of the same relay could disprove.
   void let_each_see_one_call_fail() {
     put_one_each();
     ASSERT_EQ(host_.wait_for_calls(kRelays, std::chrono::milliseconds(kDeadlineMs)), kRelays);
-    host_.set_failing(true);
+    host_.set_failure(Failure::kReset);
     put_one_each();
     for (int i = 0; i < kRelays; ++i) ASSERT_EQ(discovery_.next_notice()["state"], "failed");
     ASSERT_EQ(host_.wait_for_calls(1, std::chrono::milliseconds(1500)), 0);
   }
 
-  void expect_no_overload_after_return() {
-    host_.set_failing(false);
+  // `host` serves the destination from now on.
+  void expect_no_overload_after_return(FailingHost& host) {
+    host.set_failure(Failure::kNone);
     for (int i = 0; i < kMessagesAfterReturn; ++i) put_one_each();
     const int tolerated = static_cast<int>(tolerated_calls());
     const auto window = std::chrono::milliseconds(static_cast<int>(1000 * kWindowSeconds));
-    const int calls = host_.wait_for_calls(tolerated + 1, window);
+    const int calls = host.wait_for_calls(tolerated + 1, window);
     EXPECT_LE(calls, tolerated);
     EXPECT_GT(calls, 0);
   }
 
+  // A call of each relay is served, and then at least one fails.
+  void let_each_see_calls_fail(Failure failure) {
+    put_one_each("safe");
+    ASSERT_EQ(host_.wait_for_calls(kRelays, std::chrono::milliseconds(kDeadlineMs)), kRelays);
+    host_.set_failure(failure);
+    put_one_each("safe");
+    ASSERT_GE(host_.wait_for_failed_calls(kRelays), kRelays);
+    // Longer than a failure that the next call could disprove, and than refusals at a rate limit.
+    ASSERT_EQ(host_.wait_for_calls(1, std::chrono::milliseconds(3000)), 0);
+  }
+
+  // Replaces the destination's host, and waits until all relays know.
+  void replace_host() {
+    discovery_.publish(list_json(2, false,
+                                 {listed_host("s-1", host_, "left"), listed_host("s-2", replacement_),
+                                  member_json("s-3", marker_.address(), kMarkerDestination)}));
+    const auto deadline = std::chrono::steady_clock::now() + std::chrono::milliseconds(kDeadlineMs);
+    for (const auto& relay : relays_) {
+      while (put(*relay, "safe", kMarkerDestination) != "+OK")
+        ASSERT_LT(std::chrono::steady_clock::now(), deadline);
+    }
+  }
+
   FailingHost host_;
+  FailingHost replacement_;
+  FailingHost marker_;
   FakeDiscovery discovery_;
   std::vector<std::unique_ptr<RelayProcess>> relays_;
   int last_id_ = 0;
@@ -142,15 +206,42 @@
 
 TEST_F(SlowStart, RelaysThatSawOneCallFailDoNotOverloadTheDestinationTogether) {
   let_each_see_one_call_fail();
-  expect_no_overload_after_return();
+  expect_no_overload_after_return(host_);
 }
 
 TEST_F(SlowStart, RelaysThatAreKilledAfterOneFailedCallDoNotOverloadTheDestinationTogether) {
   let_each_see_one_call_fail();
   for (const auto& relay : relays_) relay->kill();
   for (const auto& relay : relays_) relay->start();
-  expect_no_overload_after_return();
+  expect_no_overload_after_return(host_);
 }
 
+// Guards against relays that forget an outage when the list replaces the host that failed.
+class ReplacedHost : public SlowStart, public ::testing::WithParamInterface<Failure> {};
+
+TEST_P(ReplacedHost, IsNotOverloadedByRelaysThatSawTheFormerOneFail) {
+  let_each_see_calls_fail(GetParam());
+  replace_host();
+  expect_no_overload_after_return(replacement_);
+}
+
+std::string name_of(Failure failure) {
+  switch (failure) {
+    case Failure::kNone:
+      return "None";
+    case Failure::kReset:
+      return "Reset";
+    case Failure::kSilence:
+      return "Silence";
+    case Failure::kRefusal:
+      return "Refusal";
+  }
+  return "Unknown";
+}
+
+INSTANTIATE_TEST_SUITE_P(Failures, ReplacedHost,
+                         ::testing::Values(Failure::kReset, Failure::kSilence, Failure::kRefusal),
+                         [](const auto& parameter) { return name_of(parameter.param); });
+
 }  // namespace
 }  // namespace firspool::testing
