A call that fails after the list removed its host counts for its destination

Seen: sixteen daemons each have one call out at a host that went silent; the list replaces the host before the calls time out. None of the relays takes note of the time-out, and all send what they hold to the new host as soon as it serves: 47 calls in 3 s where 29 are tolerated. Cause: on_unserved passed over each call whose host is not listed as ready any more, as if leaving explained it. Change: it counts.

--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -463,10 +463,9 @@
   void on_unserved(const Attempt& attempt, Route& route, bool failed, bool wait_requested) {
     monitor(route);
     // If a call sent later was served, this call was lost or its endpoint is bad, but the destination is up.
-    // Failures are expected of a host that is being removed.
-    if (attempt.sent < route.last_served_sent || !hosts_[attempt.endpoint].ready) return;
+    if (attempt.sent < route.last_served_sent) return;
     if (route.unserved_streak++ == 0) begin_streak(attempt.sent, route);
-    route.streak_endpoints.insert(attempt.endpoint);
+    if (hosts_[attempt.endpoint].ready) route.streak_endpoints.insert(attempt.endpoint);
     if (failed) {
       ++route.failures_in_streak;
       route.suspected = false;
--- a/tests/policy_test.cpp
+++ b/tests/policy_test.cpp
@@ -697,6 +697,23 @@
   EXPECT_EQ(all_of<Send>(relay.step(2 * kSecond, events)).size(), 3u);
 }
 
+// Guards against a relay that passes over a call which fails only after the list has removed its host.
+TEST(Probation, AFailedCallCountsAfterTheListHasRemovedItsHost) {
+  for (const Outcome outcome : {Outcome::kTimeout, Outcome::kReset, Outcome::kConnectFailed}) {
+    Relay relay(settings_of_rare_callers());
+    const auto first = all_of<Send>(relay.step(0, {members({member(1)}), relay.message(1, 0)}));
+    ASSERT_EQ(first.size(), 1u);
+    relay.step(500'000,
+               {members({member(1, 1, 0, HostState::kRemoved), member(3)}, MembersChanged::Form::kDelta)});
+    AttemptEnded end = ended(first[0], 0, outcome);
+    end.final = true;
+    relay.step(2 * kSecond, {end});
+    std::vector<Event> events;
+    for (uint64_t id = 10; id < 20; ++id) events.push_back(relay.message(id, 4 * kSecond));
+    EXPECT_LE(all_of<Send>(relay.step(4 * kSecond, events)).size(), 1u);
+  }
+}
+
 TEST(Probation, IsSavedAndRestored) {
   Relay relay(settings_of_rare_callers());
   const auto first = all_of<Send>(relay.step(kSecond, {members({member(1)}), relay.message(1, kSecond)}));
--- a/tests/slow_start_test.cpp
+++ b/tests/slow_start_test.cpp
@@ -173,12 +173,16 @@
     EXPECT_GT(calls, 0);
   }
 
-  // A call of each relay is served, and then at least one fails.
-  void let_each_see_calls_fail(Failure failure) {
+  // A call of each relay is served, and the next one is sent to the host once it fails.
+  void send_calls_that_fail(Failure failure) {
     put_one_each("safe");
     ASSERT_EQ(host_.wait_for_calls(kRelays, std::chrono::milliseconds(kDeadlineMs)), kRelays);
     host_.set_failure(failure);
     put_one_each("safe");
+  }
+
+  // Waits until each relay has seen at least one call fail.
+  void wait_for_each_to_see_a_failure() {
     ASSERT_GE(host_.wait_for_failed_calls(kRelays), kRelays);
     // Longer than a failure that the next call could disprove, and than refusals at a rate limit.
     ASSERT_EQ(host_.wait_for_calls(1, std::chrono::milliseconds(3000)), 0);
@@ -220,8 +224,18 @@
 class ReplacedHost : public SlowStart, public ::testing::WithParamInterface<Failure> {};
 
 TEST_P(ReplacedHost, IsNotOverloadedByRelaysThatSawTheFormerOneFail) {
-  let_each_see_calls_fail(GetParam());
+  send_calls_that_fail(GetParam());
+  wait_for_each_to_see_a_failure();
+  replace_host();
+  expect_no_overload_after_return(replacement_);
+}
+
+// Guards against relays that pass over a call which fails only after the list has removed its host.
+TEST_F(SlowStart, RelaysWhoseCallsTimeOutOnARemovedHostDoNotOverloadItsReplacement) {
+  replacement_.set_failure(Failure::kSilence);
+  send_calls_that_fail(Failure::kSilence);
   replace_host();
+  wait_for_each_to_see_a_failure();
   expect_no_overload_after_return(replacement_);
 }
 
