A restart right after a failed call keeps what the call showed

Seen: sixteen daemons see one call fail each and are killed at once. After the restart all send what they hold: 46 calls in 3 s where 29 are tolerated. Killed 1.5 s after the failure they keep to the budget. Cause: the folder got `failing_since` only once the probation was enforced, 0.8 s after the failed call was sent; and a probation restored earlier than that was not enforced until then, so that all that was resumed went out in between. Change: it is saved with the failed call's outcome, and enforced from the restart on, as the call that could disprove an outage ended with the former process. A streak of refusals alone is saved as before, 2.5 s after its first: a limit refuses for as long, and the pace that it teaches is saved with the first. Failed before, pass now: SlowStart.RelaysThatAreKilledAsACallFailsDoNotOverloadTheDestinationTogether (46 calls, then within 29); Probation.IsSavedAndRestored, now for frequent callers too, and from the step of the failure on.

--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -173,7 +173,10 @@
     route.baseline_rate = e.baseline_rate;
     if (e.outage_start == 0) {
       route.unserved_streak = route.failures_in_streak = 1;
-      route.streak_start = route.estimated_outage_start = e.failing_since;
+      route.estimated_outage_start = e.failing_since;
+      // The calls that could have disproved an outage ended with the former process: the probation is
+      // enforced from now on.
+      route.streak_start = std::min(e.failing_since, now_ - kMinOutageSpan);
       route.outage_bucket = {seconds(random_.between(0, kSecond)), now_};
       route.probation_enforced = true;
       return monitor(route);
@@ -685,6 +688,11 @@
     return rate > 0 ? std::exp2(std::floor(2 * std::log2(rate)) / 2) : 0;
   }
 
+  // Whether the route is on probation, or will be unless its next call is served.
+  bool is_failing(const Route& route) const {
+    return route.failures_in_streak > 0 || (route.probation_enforced && on_probation(route));
+  }
+
   // An outage that is inferred from overdue calls alone is not saved.
   void save_destination_states() {
     for (auto& [number, destination] : destinations_) {
@@ -695,7 +703,7 @@
         next.outage_start = entry->second.outage_start;
         next.recovery_start = entry->second.recovery_start;
         next.baseline_rate = entry->second.baseline_rate;
-      } else if (entry != routes_.end() && entry->second.probation_enforced && on_probation(entry->second)) {
+      } else if (entry != routes_.end() && is_failing(entry->second)) {
         next.failing_since = entry->second.streak_start;
         next.baseline_rate = entry->second.baseline_rate;
       }
--- a/tests/policy_test.cpp
+++ b/tests/policy_test.cpp
@@ -715,20 +715,24 @@
 }
 
 TEST(Probation, IsSavedAndRestored) {
-  Relay relay(settings_of_rare_callers());
-  const auto first = all_of<Send>(relay.step(kSecond, {members({member(1)}), relay.message(1, kSecond)}));
-  ASSERT_EQ(first.size(), 1u);
-  AttemptEnded end = ended(first[0], 0, Outcome::kReset);
-  end.final = true;
-  relay.step(kSecond + 100'000, {end});
-  const auto saved = all_of<SaveDestinationState>(relay.run_idle(kSecond + 150'000, 3 * kSecond));
-  ASSERT_FALSE(saved.empty());
-  EXPECT_EQ(saved.back().state.failing_since, kSecond);
-
-  Relay restarted(settings_of_rare_callers());
-  std::vector<Event> events = {members({member(1)}), saved.back().state};
-  for (uint64_t id = 10; id < 20; ++id) events.push_back(restarted.message(id, 4 * kSecond));
-  EXPECT_LE(all_of<Send>(restarted.step(4 * kSecond, events)).size(), 1u);
+  for (const Settings& settings : {settings_of_rare_callers(), basic_settings()}) {
+    Relay relay(settings);
+    const auto first = all_of<Send>(relay.step(kSecond, {members({member(1)}), relay.message(1, kSecond)}));
+    ASSERT_EQ(first.size(), 1u);
+    AttemptEnded end = ended(first[0], 0, Outcome::kReset);
+    end.final = true;
+    // At once: the process may be killed before the probation is enforced.
+    const auto saved = all_of<SaveDestinationState>(relay.step(kSecond + 100'000, {end}));
+    ASSERT_FALSE(saved.empty());
+    EXPECT_EQ(saved.back().state.failing_since, kSecond);
+    // The second restart comes before the time at which the former process would have enforced it.
+    for (const Time restart : {4 * kSecond, kSecond + 500'000}) {
+      Relay restarted(settings);
+      std::vector<Event> events = {members({member(1)}), saved.back().state};
+      for (uint64_t id = 10; id < 20; ++id) events.push_back(restarted.message(id, restart));
+      EXPECT_LE(all_of<Send>(restarted.step(restart, events)).size(), 1u);
+    }
+  }
 }
 
 // ---- Fleets of hundreds: a relay rarely calls most destinations ----
--- a/tests/slow_start_test.cpp
+++ b/tests/slow_start_test.cpp
@@ -152,14 +152,20 @@
     for (const auto& relay : relays_) ASSERT_EQ(put(*relay, message_class, kDestination), "+OK");
   }
 
-  // The outage lasts longer than a failure that the next call of the same relay could disprove.
   void let_each_see_one_call_fail() {
     put_one_each();
     ASSERT_EQ(host_.wait_for_calls(kRelays, std::chrono::milliseconds(kDeadlineMs)), kRelays);
     host_.set_failure(Failure::kReset);
     put_one_each();
     for (int i = 0; i < kRelays; ++i) ASSERT_EQ(discovery_.next_notice()["state"], "failed");
-    ASSERT_EQ(host_.wait_for_calls(1, std::chrono::milliseconds(1500)), 0);
+  }
+
+  // The outage lasts longer than a failure that the next call of the same relay could disprove.
+  void let_probation_begin() { ASSERT_EQ(host_.wait_for_calls(1, std::chrono::milliseconds(1500)), 0); }
+
+  void kill_and_start_all() {
+    for (const auto& relay : relays_) relay->kill();
+    for (const auto& relay : relays_) relay->start();
   }
 
   // `host` serves the destination from now on.
@@ -210,13 +216,21 @@
 
 TEST_F(SlowStart, RelaysThatSawOneCallFailDoNotOverloadTheDestinationTogether) {
   let_each_see_one_call_fail();
+  let_probation_begin();
   expect_no_overload_after_return(host_);
 }
 
 TEST_F(SlowStart, RelaysThatAreKilledAfterOneFailedCallDoNotOverloadTheDestinationTogether) {
   let_each_see_one_call_fail();
-  for (const auto& relay : relays_) relay->kill();
-  for (const auto& relay : relays_) relay->start();
+  let_probation_begin();
+  kill_and_start_all();
+  expect_no_overload_after_return(host_);
+}
+
+// Guards against relays that forget a failed call because they are killed before it puts them on probation.
+TEST_F(SlowStart, RelaysThatAreKilledAsACallFailsDoNotOverloadTheDestinationTogether) {
+  let_each_see_one_call_fail();
+  kill_and_start_all();
   expect_no_overload_after_return(host_);
 }
 
