A restart during a hang keeps that calls were overdue

Change: it is saved as a probation (`failing_since`), not as an outage, which a fleet's relays would tell each other. A slow answer that ends the suspicion takes it back from the folder. "Only slow" clears the mark of a suspected outage with the outage. Failed before, pass now: Restart.AnOutageSeenByOverdueCallsIsSaved (nothing was saved).

--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -456,6 +456,7 @@
     if (route.suspected && attempt.sent <= route.outage_start) {
       log(route, "only slow");
       route.outage_start = 0;
+      route.suspected = false;
     } else if (route.recovery_start == 0 && attempt.sent > route.outage_start) {
       route.recovery_start = now_;
       route.suspected = false;
@@ -688,12 +689,15 @@
     return rate > 0 ? std::exp2(std::floor(2 * std::log2(rate)) / 2) : 0;
   }
 
-  // Whether the route is on probation, or will be unless its next call is served.
+  // Whether the route is on probation, will be unless its next call is served, or has an outage inferred from
+  // overdue calls alone.
   bool is_failing(const Route& route) const {
-    return route.failures_in_streak > 0 || (route.probation_enforced && on_probation(route));
+    return route.suspected || route.failures_in_streak > 0 ||
+           (route.probation_enforced && on_probation(route));
   }
 
-  // An outage that is inferred from overdue calls alone is not saved.
+  // An outage that is inferred from overdue calls alone is saved as a probation: other relays are not told of
+  // it.
   void save_destination_states() {
     for (auto& [number, destination] : destinations_) {
       DestinationState next{number, destination.retry_tokens - destination.retry_tokens % kRetryCost};
@@ -704,7 +708,8 @@
         next.recovery_start = entry->second.recovery_start;
         next.baseline_rate = entry->second.baseline_rate;
       } else if (entry != routes_.end() && is_failing(entry->second)) {
-        next.failing_since = entry->second.streak_start;
+        next.failing_since =
+            entry->second.suspected ? entry->second.outage_start : entry->second.streak_start;
         next.baseline_rate = entry->second.baseline_rate;
       }
       if (next == destination.saved_state) continue;
--- a/tests/emulator/cold_test.cpp
+++ b/tests/emulator/cold_test.cpp
@@ -90,6 +90,7 @@
       {.restart = Restart::kDuringOutage},
       {.traffic_grows = true, .errors_before = true},
       {.outage_kind = OutageKind::kHang},
+      {.restart = Restart::kDuringOutage, .outage_kind = OutageKind::kHang},
       {.traffic_grows = true, .outage_kind = OutageKind::kHang, .effect = Effect::kUnsafe},
       {.outage_kind = OutageKind::kCallsRefused},
       {.outage_kind = OutageKind::kCallsRefused, .outage_retry_after_share = 0.5},
@@ -105,11 +106,14 @@
 TEST(ColdBudgetOf, AFleetIsKeptWhereTheHostsAreReplacedDuringTheOutage) {
   for (const OutageKind kind :
        {OutageKind::kConnectionsRefused, OutageKind::kCallsRefused, OutageKind::kHang}) {
-    const ReturnVariant replaced = {.outage_kind = kind, .hosts_replaced = true};
-    for (const int relays : {3, 46}) {
-      for (uint64_t seed = 1; seed <= std::max<uint64_t>(1, run_count() / 6); ++seed) {
-        EXPECT_EQ(violations_of_return(relays, seed, replaced), 0)
-            << "outage kind " << static_cast<int>(kind) << ", " << relays << " relays, seed " << seed;
+    for (const auto restart : {ReturnVariant::Restart::kNone, ReturnVariant::Restart::kDuringOutage}) {
+      const ReturnVariant replaced = {.restart = restart, .outage_kind = kind, .hosts_replaced = true};
+      for (const int relays : {3, 46}) {
+        for (uint64_t seed = 1; seed <= std::max<uint64_t>(1, run_count() / 6); ++seed) {
+          EXPECT_EQ(violations_of_return(relays, seed, replaced), 0)
+              << "outage kind " << static_cast<int>(kind) << ", restart " << static_cast<int>(restart) << ", "
+              << relays << " relays, seed " << seed;
+        }
       }
     }
   }
--- a/tests/policy_test.cpp
+++ b/tests/policy_test.cpp
@@ -983,6 +983,36 @@
   EXPECT_LE(sends({last}), 1u);
 }
 
+// Guards against relays that are killed while calls hang and forget it: what they hold would be sent at once
+// after the restart. A slow answer ends the suspected outage, and what was saved of it.
+TEST(Restart, AnOutageSeenByOverdueCallsIsSaved) {
+  Settings s = basic_settings();
+  s.slots = 100;
+  Relay relay(s);
+  uint64_t id = 0;
+  const Time start = warm_up(relay, id);
+  std::vector<Send> sends;
+  std::vector<SaveDestinationState> saved;
+  for (Time now = start; now < start + 2 * kSecond; now += 100'000) {
+    const auto actions = relay.step(now, {relay.message(++id, now)});
+    for (const Send& send : all_of<Send>(actions)) sends.push_back(send);
+    for (const SaveDestinationState& save : all_of<SaveDestinationState>(actions)) saved.push_back(save);
+  }
+  ASSERT_FALSE(saved.empty());
+  EXPECT_GT(saved.back().state.failing_since, start);
+  EXPECT_EQ(saved.back().state.outage_start, 0);  // other relays would be told
+
+  const Time restart = start + 3 * kSecond;
+  Relay restarted(s);
+  std::vector<Event> events = {members({member(1)}), saved.back().state};
+  for (int i = 0; i < 10; ++i) events.push_back(restarted.message(++id, restart));
+  EXPECT_LE(all_of<Send>(restarted.step(restart, events)).size(), 1u);
+
+  const auto slow = relay.step(restart, {ended(sends.at(0), 0, Outcome::kOk, restart - start)});
+  ASSERT_FALSE(all_of<SaveDestinationState>(slow).empty());
+  EXPECT_EQ(all_of<SaveDestinationState>(slow).back().state.failing_since, 0);
+}
+
 // Without the saved pacing rate all waiting messages would be sent in the first moment after a restart. In
 // the fleet emulator two relays sent twelve calls this way to a destination that was in slow start.
 TEST(Restart, ThePacingRateLearnedFromRefusalsIsSaved) {
