Outages of endpoints that are routes of their own outlast a restart

Seen: sixteen daemons and a destination whose endpoint is a route apart (kind_apart): each sees one call fail, all are killed 1.5 s later and started again, and send all that they hold: 47 calls in 3 s where 29 are tolerated. Cause: save_destination_states looked at the route of the whole destination alone; outage, probation and pace of an endpoint's route were in no folder. Change: DestinationState names the endpoint where it has a route of its own. The daemon keeps it by the host's id (handles are new in each process) while that host is listed and not well, and gives it back after the list. What a record says is written and read in one place each. A fleet's relays are told of whole destinations only, as before. Failed before, pass now: IndependentEndpoint.IsNotOverloadedByRelaysThatAreKilledAfterOneFailedCall (47 calls, then within 29); Restart.OutagesOfIndependentEndpointsAreSaved (needs the new field).

--- a/emulator/fleet.cpp
+++ b/emulator/fleet.cpp
@@ -36,7 +36,7 @@
     Time maybe_executed_at = 0;
   };
   std::map<uint64_t, OpenMessage> open_messages;
-  std::map<int, DestinationState> saved_states;
+  std::map<std::pair<int, Endpoint>, DestinationState> saved_states;  // by destination and endpoint
   std::map<Endpoint, Time> not_ready_since;  // hosts reported as draining or removed, since when
   // Idle connections by the time they became idle; the most recently used last.
   std::map<Endpoint, std::vector<Time>> idle_connections;
@@ -278,7 +278,7 @@
     if (member.state != HostState::kReady) relay.not_ready_since.try_emplace(member.endpoint, now_);
   }
   if (first) return;
-  for (const auto& [number, state] : relay.saved_states) post_event(relay, state);
+  for (const auto& [route, state] : relay.saved_states) post_event(relay, state);
   for (auto& [id, open_message] : relay.open_messages) {
     if (std::exchange(open_message.in_flight, false) && open_message.maybe_executed_at == 0)
       open_message.maybe_executed_at = open_message.sent;
@@ -397,7 +397,7 @@
       if (relay.process == process && relay.timer_at == now_) post_event(relay, TimerFired{token});
     });
   } else if (const auto* save = std::get_if<SaveDestinationState>(&action)) {
-    relay.saved_states[save->state.destination] = save->state;
+    relay.saved_states[{save->state.destination, save->state.endpoint}] = save->state;
   }
 }
 
--- a/include/firspool/policy.h
+++ b/include/firspool/policy.h
@@ -195,8 +195,9 @@
   std::string bytes;
 };
 
-// What has to be known about a destination across a restart: emitted by SaveDestinationState and given back
-// by the caller after a restart, before the first Arrival. Outages of independent endpoints are not saved.
+// What has to be known about a destination, or about one of its independent endpoints, across a restart:
+// emitted by SaveDestinationState and given back by the caller after a restart, after the host list and
+// before the first Arrival. The state of an endpoint that is in no list any more is not needed.
 struct DestinationState {
   int destination = 0;
   int retry_tokens = 0;      // of the retry bucket, in tenths of a token
@@ -205,6 +206,7 @@
   double baseline_rate = 0;  // calls a second of this relay that were served before the outage
   double pacing_rate = 0;    // upper bound on this relay's calls a second, rounded down; 0: never refused
   Time failing_since = 0;    // no outage yet, but since then calls failed and none was served; 0: none
+  Endpoint endpoint = {};    // the independent endpoint, which has no retry tokens; {}: the destination
   bool operator==(const DestinationState&) const = default;
 };
 
--- a/relay/directory.cpp
+++ b/relay/directory.cpp
@@ -125,6 +125,11 @@
   return it == hosts_.end() ? nullptr : &it->second;
 }
 
+const ListedHost* Directory::find_by_id(const std::string& id) const {
+  const auto it = handles_by_id_.find(id);
+  return it == handles_by_id_.end() ? nullptr : find(it->second);
+}
+
 bool Directory::is_active(const Endpoint& endpoint) const {
   const ListedHost* host = find(endpoint);
   return host != nullptr && host->member.state == HostState::kReady;
--- a/relay/directory.h
+++ b/relay/directory.h
@@ -51,6 +51,7 @@
   std::optional<MembersChanged> apply(const HostList& list, Time wall);
 
   const ListedHost* find(const Endpoint& endpoint) const;
+  const ListedHost* find_by_id(const std::string& id) const;
   bool is_active(const Endpoint& endpoint) const;
   // Whether the destination has had a host at some time.
   bool is_known(int destination) const { return destinations_.contains(destination); }
--- a/relay/relay.cpp
+++ b/relay/relay.cpp
@@ -12,6 +12,7 @@
 // Names of the journal's metadata.
 const std::string kHostPrefix = "host ";
 const std::string kDestinationPrefix = "destination ";
+const std::string kEndpointPrefix = "endpoint ";  // state of an independent endpoint, by its host's id
 const std::string kRemovedPrefix = "gone ";
 const std::string kRevisionKey = "revision";
 const std::string kDestinationsKey = "destinations";
@@ -62,6 +63,30 @@
   return std::chrono::steady_clock::time_point(std::chrono::microseconds(t));
 }
 
+// A point in time on another clock; 0 stands for none.
+Time shifted(Time t, Time offset) { return t == 0 ? 0 : t + offset; }
+
+nlohmann::json to_json(const DestinationState& state, Time wall_offset) {
+  return {{"tokens", state.retry_tokens},
+          {"out_since", shifted(state.outage_start, wall_offset)},
+          {"back_since", shifted(state.recovery_start, wall_offset)},
+          {"base", state.baseline_rate},
+          {"pace", state.pacing_rate},
+          {"failing_since", shifted(state.failing_since, wall_offset)}};
+}
+
+DestinationState destination_state_of(const nlohmann::json& saved, int destination, Time steady_offset) {
+  DestinationState out;
+  out.destination = destination;
+  out.retry_tokens = saved.at("tokens").get<int>();
+  out.outage_start = shifted(saved.at("out_since").get<Time>(), steady_offset);
+  out.recovery_start = shifted(saved.at("back_since").get<Time>(), steady_offset);
+  out.baseline_rate = saved.at("base").get<double>();
+  out.pacing_rate = saved.value("pace", 0.0);
+  out.failing_since = shifted(saved.value("failing_since", Time{0}), steady_offset);
+  return out;
+}
+
 }  // namespace
 
 Relay::Relay(boost::asio::io_context& io, const Config& config,
@@ -133,7 +158,6 @@
   list.complete = true;
   std::vector<DestinationState> states;
   const Time offset = steady_now() - wall_now();
-  const auto steady = [&](Time t) { return t == 0 ? 0 : t + offset; };
   nlohmann::json members = nlohmann::json::array();
   for (const auto& [name, value] : metadata) {
     const nlohmann::json saved = nlohmann::json::parse(value);
@@ -145,10 +169,8 @@
     }
     if (name.starts_with(kHostPrefix)) members.push_back(saved);
     if (name.starts_with(kDestinationPrefix)) {
-      states.push_back({std::stoi(name.substr(kDestinationPrefix.size())), saved.at("tokens").get<int>(),
-                        steady(saved.at("out_since").get<Time>()), steady(saved.at("back_since").get<Time>()),
-                        saved.at("base").get<double>(), saved.value("pace", 0.0),
-                        steady(saved.value("failing_since", Time{0}))});
+      const int destination = std::stoi(name.substr(kDestinationPrefix.size()));
+      states.push_back(destination_state_of(saved, destination, offset));
     }
   }
   list.hosts =
@@ -156,18 +178,33 @@
           .hosts;
   if (!list.hosts.empty()) on_host_list(list);
   for (const DestinationState& state : states) post_event(state);
+  restore_endpoint_states(metadata);
+}
+
+// Endpoints have new handles in each process: their states are saved by the ids of their hosts.
+void Relay::restore_endpoint_states(const std::map<std::string, std::string>& metadata) {
+  const Time offset = steady_now() - wall_now();
+  for (const auto& [name, value] : metadata) {
+    if (!name.starts_with(kEndpointPrefix)) continue;
+    const ListedHost* host = directory_.find_by_id(name.substr(kEndpointPrefix.size()));
+    if (host == nullptr) continue;
+    DestinationState state =
+        destination_state_of(nlohmann::json::parse(value), host->member.destination, offset);
+    state.endpoint = host->member.endpoint;
+    post_event(state);
+  }
 }
 
 void Relay::save_destination_state(const DestinationState& state) {
-  const Time offset = wall_now() - steady_now();
-  const auto wall = [&](Time t) { return t == 0 ? 0 : t + offset; };
-  const nlohmann::json saved = {{"tokens", state.retry_tokens},
-                                {"out_since", wall(state.outage_start)},
-                                {"back_since", wall(state.recovery_start)},
-                                {"base", state.baseline_rate},
-                                {"pace", state.pacing_rate},
-                                {"failing_since", wall(state.failing_since)}};
-  journal_.put_metadata(kDestinationPrefix + std::to_string(state.destination), saved.dump());
+  const std::string saved = to_json(state, wall_now() - steady_now()).dump();
+  if (state.endpoint == Endpoint{}) {
+    journal_.put_metadata(kDestinationPrefix + std::to_string(state.destination), saved);
+    return;
+  }
+  const ListedHost* host = directory_.find(state.endpoint);
+  if (host == nullptr || host->member.state == HostState::kRemoved) return;
+  const bool healthy = state.outage_start == 0 && state.failing_since == 0 && state.pacing_rate <= 0;
+  journal_.put_metadata(kEndpointPrefix + host->id, healthy ? "" : saved);
 }
 
 int Relay::class_of(const std::string& name) const {
@@ -308,6 +345,7 @@
 void Relay::save_host(const ListedHost& host) {
   const bool removed = host.member.state == HostState::kRemoved;
   journal_.put_metadata(kHostPrefix + host.id, removed ? "" : host.json_text);
+  if (removed) journal_.put_metadata(kEndpointPrefix + host.id, "");
   journal_.put_metadata(kRemovedPrefix + host.id,
                         removed ? std::to_string(directory_.removed().at(host.id)) : "");
 }
@@ -577,7 +615,7 @@
     wake_at_ = timer->at;  // only the latest one counts: each step that needs a timer sets it again
   } else if (const auto* state = std::get_if<SaveDestinationState>(&action)) {
     save_destination_state(state->state);
-    if (fleet_) fleet_->on_destination_state(state->state);
+    if (fleet_ && state->state.endpoint == Endpoint{}) fleet_->on_destination_state(state->state);
   } else if (const auto* log = std::get_if<Log>(&action)) {
     std::fprintf(stderr, "%s\n", log->text.c_str());
   }
--- a/relay/relay.h
+++ b/relay/relay.h
@@ -68,7 +68,8 @@
   void load_metadata();
   void open_listener();
   void resume_messages();
-  void save_destination_state(const DestinationState& memory);
+  void restore_endpoint_states(const std::map<std::string, std::string>& metadata);
+  void save_destination_state(const DestinationState& state);
   void save_host(const ListedHost& host);
   void release_removed_host(const Endpoint& endpoint);
   int class_of(const std::string& name) const;
--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -154,13 +154,23 @@
   }
   void handle(const PeerMessage&) {}
   void handle(const DestinationState& e) {
+    const RouteKey key = {e.destination, e.endpoint};
+    if (e.endpoint != Endpoint{}) {
+      const auto it = routes_.find(key);
+      if (it == routes_.end()) return;
+      it->second.saved_state = e;
+      return restore(it->second, e);
+    }
     Destination& destination = destinations_[e.destination];
     destination.retry_tokens = std::clamp(e.retry_tokens, 0, kRetryBucketCapacity);
     destination.saved_state = e;
     if (e.outage_start == 0 && e.pacing_rate <= 0 && e.failing_since == 0) return;
-    const RouteKey key = {e.destination, Endpoint{}};
     Route& route = routes_[key];
     route.key = key;
+    restore(route, e);
+  }
+
+  void restore(Route& route, const DestinationState& e) {
     // Without the saved rate, all messages that were waiting for it would be sent in the first moment after a
     // restart. The rate is at least this relay's even share of the listed limit: the refusals may be over,
     // and a relay that rarely calls would notice only much later.
@@ -632,6 +642,8 @@
     const RouteKey key = {member.destination, independent ? member.endpoint : Endpoint{}};
     Route& route = routes_[key];
     route.key = key;
+    route.saved_state.destination = key.first;
+    route.saved_state.endpoint = key.second;
     return route;
   }
 
@@ -696,28 +708,42 @@
            (route.probation_enforced && on_probation(route));
   }
 
-  // An outage that is inferred from overdue calls alone is saved as a probation: other relays are not told of
-  // it.
   void save_destination_states() {
     for (auto& [number, destination] : destinations_) {
       DestinationState next{number, destination.retry_tokens - destination.retry_tokens % kRetryCost};
       const auto entry = routes_.find({number, Endpoint{}});
-      if (entry != routes_.end()) next.pacing_rate = round_to_step(entry->second.pacing_rate);
-      if (entry != routes_.end() && entry->second.outage_start != 0 && !entry->second.suspected) {
-        next.outage_start = entry->second.outage_start;
-        next.recovery_start = entry->second.recovery_start;
-        next.baseline_rate = entry->second.baseline_rate;
-      } else if (entry != routes_.end() && is_failing(entry->second)) {
-        next.failing_since =
-            entry->second.suspected ? entry->second.outage_start : entry->second.streak_start;
-        next.baseline_rate = entry->second.baseline_rate;
-      }
-      if (next == destination.saved_state) continue;
-      destination.saved_state = next;
-      actions_->push_back(SaveDestinationState{next});
+      if (entry != routes_.end()) describe_health(entry->second, next);
+      save_if_changed(next, destination.saved_state);
+    }
+    for (auto& [key, route] : routes_) {
+      if (key.second == Endpoint{}) continue;
+      DestinationState next{key.first};
+      next.endpoint = key.second;
+      describe_health(route, next);
+      save_if_changed(next, route.saved_state);
     }
   }
 
+  // An outage that is inferred from overdue calls alone is saved as a probation: other relays are not told of
+  // it.
+  void describe_health(const Route& route, DestinationState& state) const {
+    state.pacing_rate = round_to_step(route.pacing_rate);
+    if (route.outage_start != 0 && !route.suspected) {
+      state.outage_start = route.outage_start;
+      state.recovery_start = route.recovery_start;
+      state.baseline_rate = route.baseline_rate;
+    } else if (is_failing(route)) {
+      state.failing_since = route.suspected ? route.outage_start : route.streak_start;
+      state.baseline_rate = route.baseline_rate;
+    }
+  }
+
+  void save_if_changed(const DestinationState& next, DestinationState& saved) {
+    if (next == saved) return;
+    saved = next;
+    actions_->push_back(SaveDestinationState{next});
+  }
+
   // Share of the relays that got a message for the route during the outage, and so know of it.
   double informed_share(const Route& route) const {
     if (route.outage_is_shared) return 1;
--- a/src/policy_parts.h
+++ b/src/policy_parts.h
@@ -264,6 +264,7 @@
   // Calls lost on idle connections, with none served on a new connection since.
   std::vector<SuspectCall> suspect_calls;
   DecayingRate served_rate;
+  DestinationState saved_state;  // only of an independent endpoint
 };
 
 struct Host {
--- a/tests/policy_test.cpp
+++ b/tests/policy_test.cpp
@@ -983,6 +983,43 @@
   EXPECT_LE(sends({last}), 1u);
 }
 
+// Guards against relays that keep the outages of whole destinations only.
+TEST(Restart, OutagesOfIndependentEndpointsAreSaved) {
+  const Settings s = basic_settings();
+  constexpr int kIndependentKind = 1;
+  const MembersChanged list = members({member(1, 1, kIndependentKind), member(2, 2, kIndependentKind)});
+  Relay relay(s);
+  std::vector<SaveDestinationState> saved;
+  std::vector<Event> events = {list};
+  uint64_t id = 0;
+  for (Time now = 0; now < 6 * kSecond; now += kSecond / 2) {
+    events.push_back(relay.message(++id, now));
+    const auto actions = relay.step(now, events);
+    events.clear();
+    for (const Send& send : all_of<Send>(actions)) {
+      AttemptEnded end = ended(send, 0, Outcome::kConnectFailed);
+      end.final = true;
+      events.push_back(end);
+    }
+    for (const SaveDestinationState& save : all_of<SaveDestinationState>(actions))
+      if (save.state.endpoint != Endpoint{}) saved.push_back(save);
+  }
+  ASSERT_FALSE(saved.empty());
+  EXPECT_NE(saved.back().state.outage_start, 0);
+  EXPECT_EQ(saved.back().state.endpoint, member(1).endpoint);
+
+  // Also where the endpoint is in no list any more: then there is nothing to be kept.
+  for (const bool listed : {true, false}) {
+    Relay restarted(s);
+    std::vector<Event> resumed = {listed ? list : members({member(2, 2, kIndependentKind)}),
+                                  saved.back().state};
+    size_t sends = 0;
+    for (int i = 0; i < 10; ++i) resumed.push_back(restarted.message(++id, 10 * kSecond));
+    sends = all_of<Send>(restarted.step(10 * kSecond, resumed)).size();
+    EXPECT_LE(sends, 1u);
+  }
+}
+
 // Guards against relays that are killed while calls hang and forget it: what they hold would be sent at once
 // after the restart. A slow answer ends the suspected outage, and what was saved of it.
 TEST(Restart, AnOutageSeenByOverdueCallsIsSaved) {
--- a/tests/slow_start_test.cpp
+++ b/tests/slow_start_test.cpp
@@ -121,6 +121,7 @@
       nlohmann::json& settings = config["settings"];
       settings["me"] = i;
       settings["siblings"] = kRelays;
+      settings["family_info"]["kind_apart"] = {endpoints_are_independent()};
       settings["obligations"]["cold_s"] = kSlowStartSeconds;
       settings["obligations"]["fall_s"] = kWindowSeconds;
       settings["obligations"]["fall_multiple"] = kOverloadFactor;
@@ -130,6 +131,8 @@
     }
   }
 
+  virtual bool endpoints_are_independent() const { return false; }
+
   static nlohmann::json listed_host(const std::string& id, const FailingHost& host,
                                     const std::string& phase = "active") {
     nlohmann::json member = member_json(id, host.address(), kDestination, phase);
@@ -227,6 +230,18 @@
   expect_no_overload_after_return(host_);
 }
 
+class IndependentEndpoint : public SlowStart {
+  bool endpoints_are_independent() const override { return true; }
+};
+
+// Guards against relays whose folders keep nothing of an endpoint that has outages of its own.
+TEST_F(IndependentEndpoint, IsNotOverloadedByRelaysThatAreKilledAfterOneFailedCall) {
+  let_each_see_one_call_fail();
+  let_probation_begin();
+  kill_and_start_all();
+  expect_no_overload_after_return(host_);
+}
+
 // Guards against relays that forget a failed call because they are killed before it puts them on probation.
 TEST_F(SlowStart, RelaysThatAreKilledAsACallFailsDoNotOverloadTheDestinationTogether) {
   let_each_see_one_call_fail();
