--- a/tests/policy_test.cpp
+++ b/tests/policy_test.cpp
@@ -1008,15 +1008,13 @@
   EXPECT_NE(saved.back().state.outage_start, 0);
   EXPECT_EQ(saved.back().state.endpoint, member(1).endpoint);
 
-  // Also where the endpoint is in no list any more: then there is nothing to be kept.
+  // A state whose endpoint is in no list any more is passed over.
   for (const bool listed : {true, false}) {
     Relay restarted(s);
     std::vector<Event> resumed = {listed ? list : members({member(2, 2, kIndependentKind)}),
                                   saved.back().state};
-    size_t sends = 0;
     for (int i = 0; i < 10; ++i) resumed.push_back(restarted.message(++id, 10 * kSecond));
-    sends = all_of<Send>(restarted.step(10 * kSecond, resumed)).size();
-    EXPECT_LE(sends, 1u);
+    EXPECT_LE(all_of<Send>(restarted.step(10 * kSecond, resumed)).size(), listed ? 1u : 0u);
   }
 }
 
