--- a/tests/peers.cpp
+++ b/tests/peers.cpp
@@ -234,6 +234,11 @@
   return out;
 }
 
+std::vector<nlohmann::json> FakeDiscovery::take_notices() {
+  const std::lock_guard lock(mutex_);
+  return std::exchange(notices_, {});
+}
+
 nlohmann::json member_json(const std::string& id, const std::string& address, int cell,
                            const std::string& phase) {
   return {{"id", id},     {"host_port", address}, {"locality", "a"}, {"flavor", "std"},
--- a/tests/peers.h
+++ b/tests/peers.h
@@ -96,8 +96,9 @@
   FakeDiscovery();
   ~FakeDiscovery();
   std::string address() const { return "127.0.0.1:" + std::to_string(listener_.port()); }
-  void publish(const nlohmann::json& list);  // to open and future watches
-  nlohmann::json next_notice();              // the next one that was acknowledged with 204
+  void publish(const nlohmann::json& list);    // to open and future watches
+  nlohmann::json next_notice();                // the next one that was acknowledged with 204
+  std::vector<nlohmann::json> take_notices();  // those that were acknowledged so far; does not wait
   void refuse_notices(int count) { notices_to_refuse_ = count; }  // the next `count` posts get 503
   // Watches opened while it is silent never get a reply, as if discovery were down.
   // Each later post on a connection gets the answer to the post before it once more, and is not read.
