A refusal after a second reply on its connection frees no message, however quiet it was

Cause: silence of a second and until the call's time-out made a refusal certain (Upstream::is_refusal_certain). A host that hangs is silent as well. Change: a refusal is certain on a new connection, and on one whose only reply so far delivered its message: that reply is the first on its connection, and a copy of it is no refusal. Nothing else proves one. So the rule needs two facts of the connection and no clock, and stands there.

UpstreamTest.ARefusalOnAConnectionThatWasQuietIsCertain asserted the fault (a 503 on the third call after silence frees a message that may not be repeated). In its place two tests ask for the opposite: after the same silence such a refusal frees nothing, and no such message is sent there.

--- a/relay/connection_pool.cpp
+++ b/relay/connection_pool.cpp
@@ -25,7 +25,8 @@
     const ConnectionPtr& connection = *candidate;
     if (!connection->idle || connection->close_at != 0 || !check_input(connection)) continue;
     hooks_.on_quiet(*connection);
-    if (!hooks_.may_reuse(*connection, for_certain_refusal)) continue;
+    if (for_certain_refusal && !connection->is_refusal_certain()) continue;
+    if (!hooks_.may_reuse(*connection)) continue;
     Error error;
     const bool same_address = connection->socket.remote_endpoint(error) == address && !error;
     if (!same_address || steady_now() - connection->idle_since >= max_idle_time_) {
--- a/relay/connection_pool.h
+++ b/relay/connection_pool.h
@@ -20,6 +20,11 @@
   HostConnection(boost::asio::io_context& io, ConnectionId number, const Endpoint& host)
       : id(number), endpoint(host), socket(io) {}
 
+  // Whether a refusal that is read for the next request answers that request. It does on a connection whose
+  // only reply so far delivered its message: that reply is certain, and a copy of it is no refusal. Later on
+  // a reply may have been a copy, so that the true one, a refusal perhaps, is still owed.
+  bool is_refusal_certain() const { return requests == 0 || (requests == 1 && all_delivered); }
+
   ConnectionId id;
   Endpoint endpoint;
   tcp::socket socket;
@@ -46,9 +51,8 @@
     // Bytes arrived on an idle connection, which is closed after this call.
     std::function<void(const HostConnection&, const std::string& bytes)> on_surplus;
     std::function<void(const HostConnection&)> on_closed;  // for whatever reason
-    // An idle connection may be used again, as far as its earlier replies tell. `for_certain_refusal`: a
-    // refusal on it has to be certain.
-    std::function<bool(const HostConnection&, bool for_certain_refusal)> may_reuse;
+    // An idle connection may be used again, as far as its earlier replies tell.
+    std::function<bool(const HostConnection&)> may_reuse;
     // Called now and then for each idle connection on which nothing has arrived, and before it is taken or
     // closed.
     std::function<void(const HostConnection&)> on_quiet;
@@ -58,6 +62,7 @@
   ConnectionPool(Time max_idle_time, Hooks hooks) : max_idle_time_(max_idle_time), hooks_(std::move(hooks)) {}
 
   // The most recently used connection to the host that may be used; null if there is none.
+  // `for_certain_refusal`: a refusal on it has to be certain.
   ConnectionPtr take(const Endpoint& endpoint, const tcp::endpoint& address, bool for_certain_refusal);
   bool has_usable(const Endpoint& endpoint) const;
   void keep(ConnectionPtr connection);
--- a/relay/upstream.cpp
+++ b/relay/upstream.cpp
@@ -182,7 +182,7 @@
     }
     if (!check_input_before_request()) return;
     request_state_ = RequestState::kPartlySent;
-    refusal_is_certain_ = owner_->is_refusal_certain(*connection_);
+    refusal_is_certain_ = connection_->is_refusal_certain();
     ++connection_->requests;
     request_.version(11);
     request_.method(is_probe_ ? http::verb::get : http::verb::post);
@@ -439,9 +439,8 @@
   hooks.on_closed = [this](const HostConnection& connection) {
     report(unverified_.on_ended(connection.id, steady_now()), "their connection ended early");
   };
-  hooks.may_reuse = [this](const HostConnection& connection, bool for_certain_refusal) {
-    return for_certain_refusal ? is_refusal_certain(connection)
-                               : unverified_.may_reuse(connection.id, steady_now());
+  hooks.may_reuse = [this](const HostConnection& connection) {
+    return unverified_.may_reuse(connection.id, steady_now());
   };
   hooks.on_quiet = [this](const HostConnection& connection) {
     report_confirmed(unverified_.confirm_quiet(connection.id, steady_now()));
@@ -492,13 +491,6 @@
   return connection;
 }
 
-// Whether a refusal that is read for the next request answers that request. So it is on a connection that has
-// been quiet since its last reply, if all replies so far delivered their messages: a second copy of one of
-// those is no refusal.
-bool Upstream::is_refusal_certain(const HostConnection& connection) const {
-  return connection.requests == 0 || (connection.all_delivered && !unverified_.has_replies(connection.id));
-}
-
 bool Upstream::has_room() const { return exchanges_.size() + pool_.size() < limits_.max_connections; }
 
 // `only_one`: probes, which always connect, would otherwise fill the host's table with idle connections.
--- a/relay/upstream.h
+++ b/relay/upstream.h
@@ -85,7 +85,6 @@
   ConnectionPool::Hooks pool_hooks();
   ConnectionPool::ConnectionPtr make_connection(const Endpoint& endpoint);
   ConnectionPool::ConnectionPtr take_idle(const Call& call);
-  bool is_refusal_certain(const HostConnection& connection) const;
   bool has_room() const;
   void keep_idle(ConnectionPool::ConnectionPtr connection, bool only_one);
   void drain(ConnectionPool::ConnectionPtr connection, Time close_at, bool stop_sending);
--- a/tests/upstream_test.cpp
+++ b/tests/upstream_test.cpp
@@ -565,15 +565,24 @@
   EXPECT_EQ(host_.connections(), 3);
 }
 
-TEST_F(UpstreamTest, ARefusalOnAConnectionThatWasQuietIsCertain) {
+// A host that hangs on the second call is silent as well, and its refusal of that call is read by the next.
+TEST_F(UpstreamTest, ARefusalAfterASecondReplyFreesNoMessageHoweverLongTheConnectionWasQuiet) {
+  EXPECT_FALSE(call(replying("200")).reply_unverified);
+  EXPECT_TRUE(call(replying("200"), 500'000).reply_unverified);
+  const Time from = steady_now();
+  run_until([&] { return steady_now() - from > 1'300'000; });
+  EXPECT_TRUE(call(replying("503")).reply_unverified);
+  EXPECT_EQ(host_.connections(), 1);
+}
+
+TEST_F(UpstreamTest, AMessageThatMayNotBeRepeatedIsNotSentWhereTwoCallsWereHoweverLongItWasQuiet) {
   call(replying("200"));
   call(replying("200"), 500'000);
-  run_until([this] { return !confirmed_.empty(); });
+  const Time from = steady_now();
+  run_until([&] { return steady_now() - from > 1'300'000; });
   may_repeat_ = false;
-  const AttemptEnded end = call(replying("503"));
-  EXPECT_EQ(end.outcome, Outcome::kRefused);
-  EXPECT_FALSE(end.reply_unverified);
-  EXPECT_EQ(host_.connections(), 1);
+  EXPECT_FALSE(call(replying("503")).reply_unverified);
+  EXPECT_EQ(host_.connections(), 2);
 }
 
 TEST_F(UpstreamTest, SurplusOfEachKindEndsTheUseOfAnIdleConnection) {
