Silence alone ends no message: a reply on a used connection needs later ones too

Cause: a 200 on a used connection was confirmed by a second of silence past the call's time-out. A host that hangs on that call, or that answered it with the refusal that stood behind half a line, is silent too. At a connection's end all but its last three replies counted as confirmed.

Change (relay/unverified_replies.*): replies come in the order of their requests, so a host that owes one and replies again must send one too many. A reply is confirmed by silence, a further delivered call and silence again on its connection, or by eight later deliveries there. Whatever is not confirmed as a call fails, the connection ends, its host sends surplus bytes, or half a second before the message's time is up, gets its notice. So each message ends in time whatever the host does; the evidence decides only which deliveries need no notice. Connections no longer rest after 1.5 s, since no silence has to be waited for, and the oldest is used first, those with one reply being left to messages that may not be repeated: later replies confirm earlier ones.

UpstreamTest.AReplyOnAUsedConnectionIsCertainOnceTheConnectionWasQuiet and UnverifiedReplies.AnEarlyEndPutsTheLastRepliesInDoubt asserted the fault; in their place stand tests that silence confirms none and that an end puts all in doubt.

--- a/rehearsal/report.cpp
+++ b/rehearsal/report.cpp
@@ -358,6 +358,7 @@
               {"handed_in", report.submissions},
               {"attempts", report.attempts},
               {"notices", report.notices},
+              {"notices_of_delivered", report.notices_of_delivered},
               {"client_connections", report.connections_opened},
               {"worth", worth_share(scenario, report)},
               {"breaches", report.violation_count}};
--- a/rehearsal/run.cpp
+++ b/rehearsal/run.cpp
@@ -866,6 +866,7 @@
     out.submissions = tracker_.submission_count();
     out.attempts = tracker_.total_attempts();
     for (const Relay& r : relays_) out.notices += r.agent->notice_count();
+    out.notices_of_delivered = checker_.notices_of_delivered();
     out.connections_opened = load_generator_->connections_opened();
     out.timing = timing_;
     out.timing.cpu = own_cpu() - cpu_at_start_;
--- a/rehearsal/run.h
+++ b/rehearsal/run.h
@@ -80,7 +80,8 @@
   uint64_t submissions = 0;
   uint64_t attempts = 0;
   uint64_t notices = 0;
-  uint64_t connections_opened = 0;  // client connections
+  uint64_t notices_of_delivered = 0;  // notices of failure for messages that had been delivered
+  uint64_t connections_opened = 0;    // client connections
   KitTiming timing;
 };
 
--- a/relay/connection_pool.cpp
+++ b/relay/connection_pool.cpp
@@ -14,19 +14,22 @@
 constexpr size_t kMaxPerHost = 64;
 constexpr size_t kReadBytes = 4 * 1024;
 
+bool is_used_before(const ConnectionPool::ConnectionPtr& a, const ConnectionPool::ConnectionPtr& b) {
+  return std::pair(a->is_refusal_certain(), a->id) < std::pair(b->is_refusal_certain(), b->id);
+}
+
 }  // namespace
 
 ConnectionPool::ConnectionPtr ConnectionPool::take(const Endpoint& endpoint, const tcp::endpoint& address,
                                                    bool for_certain_refusal) {
   const auto it = by_host_.find(endpoint);
   if (it == by_host_.end()) return nullptr;
-  const std::vector<ConnectionPtr> candidates = it->second;
-  for (auto candidate = candidates.rbegin(); candidate != candidates.rend(); ++candidate) {
-    const ConnectionPtr& connection = *candidate;
+  std::vector<ConnectionPtr> candidates = it->second;
+  std::sort(candidates.begin(), candidates.end(), is_used_before);
+  for (const ConnectionPtr& connection : candidates) {
     if (!connection->idle || connection->close_at != 0 || !check_input(connection)) continue;
     hooks_.on_quiet(*connection);
     if (for_certain_refusal && !connection->is_refusal_certain()) continue;
-    if (!hooks_.may_reuse(*connection)) continue;
     Error error;
     const bool same_address = connection->socket.remote_endpoint(error) == address && !error;
     if (!same_address || steady_now() - connection->idle_since >= max_idle_time_) {
--- a/relay/connection_pool.h
+++ b/relay/connection_pool.h
@@ -51,8 +51,6 @@
     // Bytes arrived on an idle connection, which is closed after this call.
     std::function<void(const HostConnection&, const std::string& bytes)> on_surplus;
     std::function<void(const HostConnection&)> on_closed;  // for whatever reason
-    // An idle connection may be used again, as far as its earlier replies tell.
-    std::function<bool(const HostConnection&)> may_reuse;
     // Called now and then for each idle connection on which nothing has arrived, and before it is taken or
     // closed.
     std::function<void(const HostConnection&)> on_quiet;
@@ -61,8 +59,9 @@
   // A connection that was idle for `max_idle_time` is closed.
   ConnectionPool(Time max_idle_time, Hooks hooks) : max_idle_time_(max_idle_time), hooks_(std::move(hooks)) {}
 
-  // The most recently used connection to the host that may be used; null if there is none.
-  // `for_certain_refusal`: a refusal on it has to be certain.
+  // The connection to the host that is to be used next; null if there is none. `for_certain_refusal`: a
+  // refusal on it has to be certain. The oldest comes first, so that few carry all calls, as later replies
+  // confirm earlier ones; those with certain refusals are left to calls that need them.
   ConnectionPtr take(const Endpoint& endpoint, const tcp::endpoint& address, bool for_certain_refusal);
   bool has_usable(const Endpoint& endpoint) const;
   void keep(ConnectionPtr connection);
--- a/relay/relay.cpp
+++ b/relay/relay.cpp
@@ -591,6 +591,7 @@
     call.body = message->second.submission.body;
     call.timeout = send->timeout;
     call.start_by = send->start_by;
+    call.message_due = message->second.due;
     call.may_repeat = may_repeat(message->second.submission);
     ++in_flight_[call.endpoint];
     upstream_.call(std::move(call));
--- a/relay/upstream.cpp
+++ b/relay/upstream.cpp
@@ -333,11 +333,12 @@
     const bool unverified = reply_started_ && !is_first_request() && (delivered || !refusal_is_certain_);
     if (reply_started_ && !delivered) connection_->all_delivered = false;
     if (unverified && final_) {
-      owner_->unverified_.add(connection_->id, call_.endpoint, {call_.call_id, steady_now(), deadline_});
+      owner_->report_confirmed(owner_->unverified_.add(connection_->id, call_.endpoint,
+                                                       {call_.call_id, steady_now(), call_.message_due}));
       ++owner_->counters_.unverified_replies;
     }
     if (!final_ && request_state_ != RequestState::kNotSent)
-      owner_->report(owner_->unverified_.on_call_failed(connection_->id), "a call after them failed");
+      owner_->report_doubtful(owner_->unverified_.on_ended(connection_->id), "a call after them failed");
     release_connection(unverified);
     // The host's other idle connections may be dead as well. A call lost on one may have been executed, while
     // a call that cannot connect was not.
@@ -437,13 +438,10 @@
     on_surplus(connection, bytes);
   };
   hooks.on_closed = [this](const HostConnection& connection) {
-    report(unverified_.on_ended(connection.id, steady_now()), "their connection ended early");
-  };
-  hooks.may_reuse = [this](const HostConnection& connection) {
-    return unverified_.may_reuse(connection.id, steady_now());
+    report_doubtful(unverified_.on_ended(connection.id), "their connection ended");
   };
   hooks.on_quiet = [this](const HostConnection& connection) {
-    report_confirmed(unverified_.confirm_quiet(connection.id, steady_now()));
+    report_confirmed(unverified_.on_quiet(connection.id, steady_now()));
   };
   return hooks;
 }
@@ -559,15 +557,11 @@
   });
 }
 
-void Upstream::report(UnverifiedReplies::Verdicts verdicts, const char* reason) {
-  report_confirmed(std::move(verdicts.confirmed));
-  report_doubtful(std::move(verdicts.doubtful), reason);
-}
-
-void Upstream::end_unverified() { report(unverified_.on_all_ended(steady_now()), "the relay ends"); }
+void Upstream::end_unverified() { report_doubtful(unverified_.on_all_ended(), "the relay ends"); }
 
 void Upstream::sweep() {
   pool_.sweep();
+  report_doubtful(unverified_.on_message_time_up(steady_now()), "their time is up");
   unverified_.forget_old_suspects(steady_now());
   sweep_timer_.expires_after(kSweepInterval);
   sweep_timer_.async_wait([this](const Error& error) {
--- a/relay/upstream.h
+++ b/relay/upstream.h
@@ -27,6 +27,7 @@
   std::string body;
   Time timeout = 0;
   Time start_by = 0;       // the first byte must be written by this time
+  Time message_due = 0;    // the message needs its end by then
   bool may_repeat = true;  // a second execution of the message does no harm
 };
 
@@ -89,7 +90,6 @@
   void keep_idle(ConnectionPool::ConnectionPtr connection, bool only_one);
   void drain(ConnectionPool::ConnectionPtr connection, Time close_at, bool stop_sending);
   void on_surplus(const HostConnection& connection, const std::string& bytes);
-  void report(UnverifiedReplies::Verdicts verdicts, const char* reason);
   void report_confirmed(std::vector<std::string> ids);
   void report_doubtful(std::vector<std::string> ids, const char* reason);
   void start(std::shared_ptr<Exchange> exchange);
--- a/standins/endpoints.cpp
+++ b/standins/endpoints.cpp
@@ -241,6 +241,7 @@
     const auto request = parser_->release();
     parser_.reset();
     const Time first = std::exchange(first_byte_, 0);
+    ++requests_;
     if (request.method() == http::verb::get) return probe(now, view(request.target()));
     if (request.method() != http::verb::post || request.target() != "/events") {
       return write_response("404 Not Found", "", {}, 0);
@@ -270,6 +271,7 @@
     call.endpoint = endpoint_->settings.number;
     call.body = hash_bytes(request.body());
     call.first_byte = first;
+    call.request = requests_;
     call_ = call.number;
     ++owner_->calls_in_flight_;
     const int out = ++owner_->calls_by_relay_[static_cast<size_t>(relay_)];
@@ -426,6 +428,7 @@
   boost::beast::flat_buffer buffer_;
   std::optional<Parser> parser_;
   std::string out_;
+  int requests_ = 0;
   Time first_byte_ = 0;  // arrival of the first byte of the request being read; 0: none
   uint64_t call_ = 0;    // the call in progress; 0: none
   uint64_t key_ = 0;
--- a/standins/witness.h
+++ b/standins/witness.h
@@ -46,6 +46,7 @@
   uint64_t key = 0;     // 0: none
   uint64_t body = 0;    // hash of the body's bytes
   Time first_byte = 0;  // the call is reported when its last byte has arrived
+  int request = 1;      // number of the request on its connection, probes counted
 };
 
 enum class CallEnd {
