Log why connections are made, calls given up and deliveries doubted, with ids

Change: relay/upstream_log.* holds the counters by reason (connections made: no idle one, host under suspicion, certain refusal needed, surplus on the idle one, probe; notices: surplus bytes, later call failed, connection ended, time up, relay ends) and writes a line for each call given up, each delivery that a notice ends and each surplus, with message id, connection and request number; at most ten lines a second, the rest counted. The summary comes once a minute where it changed, and at SIGTERM. upstream.cpp and relay.cpp lose their formatting.

--- a/relay/relay.cpp
+++ b/relay/relay.cpp
@@ -682,20 +682,6 @@
          config_.settings.classes[static_cast<size_t>(message_class)].effect != Effect::kUnsafe;
 }
 
-void Relay::log_reply_counters() const {
-  const Upstream::Counters& counters = upstream_.counters();
-  const auto count = [](uint64_t value) { return static_cast<unsigned long long>(value); };
-  std::fprintf(
-      stderr,
-      "hosts: %llu connections made, %llu used again; %llu times surplus bytes; %llu calls given up\n",
-      count(counters.new_connections), count(counters.reused_connections), count(counters.surplus_replies),
-      count(counters.calls_given_up));
-  std::fprintf(stderr,
-               "replies on used connections: %llu ended a message, %llu of them confirmed, %llu in doubt\n",
-               count(counters.unverified_replies), count(counters.confirmed_replies),
-               count(counters.doubtful_replies));
-}
-
 void Relay::send_notices() {
   while (!unsynced_notices_.empty() && journal_.is_durable(unsynced_notices_.front().position)) {
     notice_sender_.add(std::move(unsynced_notices_.front().value));
@@ -749,7 +735,7 @@
                     unrecorded_notices_.empty() && unsynced_notices_.empty() && unsynced_replies_.empty() &&
                     (!client_server_ || client_server_->all_closed());
   if (age >= kShutdownTimeout || (clients_shut_down_ && idle)) {
-    log_reply_counters();
+    upstream_.log_summary();
     return io_.stop();
   }
   stop_timer_.expires_after(std::chrono::microseconds(kShutdownPollInterval));
--- a/relay/relay.h
+++ b/relay/relay.h
@@ -90,7 +90,6 @@
   void on_reply_doubtful(const std::string& id);
   void on_surplus_retry_after(const Endpoint& endpoint, Time retry_after);
   Upstream::ReplyCallbacks reply_callbacks();
-  void log_reply_counters() const;
   void forget_message(uint64_t number);
   bool may_repeat(const Submission& submission) const;
   void record_notices();
--- a/relay/unverified_replies.cpp
+++ b/relay/unverified_replies.cpp
@@ -66,7 +66,6 @@
 }
 
 std::vector<std::string> UnverifiedReplies::on_surplus(const Endpoint& endpoint, Time now) {
-  new_suspect_ = may_reuse_host(endpoint, now);
   suspect_until_[endpoint] = now + kNoReuseTime;
   std::vector<std::string> doubtful;
   for (auto& [id, connection] : connections_) {
--- a/relay/unverified_replies.h
+++ b/relay/unverified_replies.h
@@ -55,8 +55,6 @@
   std::vector<std::string> on_message_time_up(Time now);
   // The host sent bytes that answer no request: replies on its other connections are in doubt as well.
   std::vector<std::string> on_surplus(const Endpoint& endpoint, Time now);
-  // True if the host was not yet under suspicion when its last surplus bytes arrived.
-  bool is_new_suspect() const { return new_suspect_; }
   // The connection ended, or a call on it ended without delivering its message: that may be the end of an
   // earlier call.
   std::vector<std::string> on_ended(ConnectionId connection);
@@ -74,7 +72,6 @@
 
   std::map<ConnectionId, Connection> connections_;  // those with unverified replies
   std::map<Endpoint, Time> suspect_until_;
-  bool new_suspect_ = false;
 };
 
 }  // namespace firspool::relay
--- a/relay/upstream.cpp
+++ b/relay/upstream.cpp
@@ -29,7 +29,6 @@
 // Surplus bytes that a host sends right after a reply arrive within this time.
 constexpr Time kSettleTime = 2 * 1000;
 constexpr std::chrono::milliseconds kSweepInterval{250};
-constexpr Time kDoubtLogInterval = kSecond;
 
 std::chrono::steady_clock::time_point at_time(Time t) {
   return std::chrono::steady_clock::time_point(std::chrono::microseconds(t));
@@ -65,7 +64,7 @@
     // A probe's reply decides on many messages, so it goes out on a new connection.
     if (!is_probe_) connection_ = owner_->take_idle(call_);
     if (connection_) return wait_until_settled(connection_->idle_since + kSettleTime);
-    connect();
+    connect(is_probe_ ? ConnectReason::kProbe : owner_->reason_for_new_connection(call_));
   }
 
   void cancel() { abort(Outcome::kCancelled); }
@@ -97,8 +96,8 @@
     write();
   }
 
-  void connect() {
-    connection_ = owner_->make_connection(call_.endpoint);
+  void connect(ConnectReason reason) {
+    connection_ = owner_->make_connection(call_.endpoint, reason);
     set_timer(std::min(deadline_, started_at_ + owner_->limits_.connect_timeout));
     connection_->socket.async_connect(call_.address, [self = shared_from_this()](const Error& error) {
       if (self->finished_) return;
@@ -150,7 +149,7 @@
     if (connection_->requests > 0) {
       if (input == Input::kSurplus) owner_->on_surplus(*connection_, bytes);
       owner_->pool_.close(connection_);
-      connect();
+      connect(ConnectReason::kSurplusOnIdleConnection);
     } else if (input == Input::kEnd) {
       finish(Outcome::kConnectFailed);
     } else {
@@ -335,10 +334,10 @@
     if (unverified && final_) {
       owner_->report_confirmed(owner_->unverified_.add(connection_->id, call_.endpoint,
                                                        {call_.call_id, steady_now(), call_.message_due}));
-      ++owner_->counters_.unverified_replies;
+      owner_->log_.on_unverified_delivery();
     }
     if (!final_ && request_state_ != RequestState::kNotSent)
-      owner_->report_doubtful(owner_->unverified_.on_ended(connection_->id), "a call after them failed");
+      owner_->report_doubtful(owner_->unverified_.on_ended(connection_->id), DoubtReason::kCallFailed);
     release_connection(unverified);
     // The host's other idle connections may be dead as well. A call lost on one may have been executed, while
     // a call that cannot connect was not.
@@ -374,7 +373,11 @@
     } else if (not_written ? reusable_ : keep_alive_ && (final_ || !unverified)) {
       owner_->keep_idle(connection_, is_probe_);
     } else if (reply_complete_ && unverified && request_state_ == RequestState::kSent) {
-      if (!final_) ++owner_->counters_.calls_given_up;
+      if (!final_) {
+        const int status = static_cast<int>(parser_->get().result_int());
+        owner_->log_.on_call_given_up(steady_now(), call_.call_id, status, connection_->id,
+                                      connection_->requests);
+      }
       const Time true_reply_by = std::max(deadline_, steady_now() + UnverifiedReplies::kQuietTime);
       owner_->drain(connection_, true_reply_by, !final_);
     } else {
@@ -423,6 +426,7 @@
       on_attempt_ended_(std::move(on_attempt_ended)),
       on_probe_ended_(std::move(on_probe_ended)),
       reply_callbacks_(std::move(reply_callbacks)),
+      log_([](const std::string& line) { std::fprintf(stderr, "%s\n", line.c_str()); }),
       pool_(limits.idle_timeout - kIdleCloseMargin, pool_hooks()),
       sweep_timer_(io) {
   sweep();
@@ -438,7 +442,7 @@
     on_surplus(connection, bytes);
   };
   hooks.on_closed = [this](const HostConnection& connection) {
-    report_doubtful(unverified_.on_ended(connection.id), "their connection ended");
+    report_doubtful(unverified_.on_ended(connection.id), DoubtReason::kConnectionEnded);
   };
   hooks.on_quiet = [this](const HostConnection& connection) {
     report_confirmed(unverified_.on_quiet(connection.id, steady_now()));
@@ -476,8 +480,8 @@
 
 void Upstream::close_idle(const Endpoint& endpoint) { pool_.close_host(endpoint); }
 
-ConnectionPool::ConnectionPtr Upstream::make_connection(const Endpoint& endpoint) {
-  ++counters_.new_connections;
+ConnectionPool::ConnectionPtr Upstream::make_connection(const Endpoint& endpoint, ConnectReason reason) {
+  log_.on_connect(reason);
   return std::make_shared<HostConnection>(io_, ++last_connection_id_, endpoint);
 }
 
@@ -485,10 +489,16 @@
 ConnectionPool::ConnectionPtr Upstream::take_idle(const Call& call) {
   if (!unverified_.may_reuse_host(call.endpoint, steady_now())) return nullptr;
   ConnectionPool::ConnectionPtr connection = pool_.take(call.endpoint, call.address, !call.may_repeat);
-  if (connection) ++counters_.reused_connections;
+  if (connection) log_.on_reuse();
   return connection;
 }
 
+ConnectReason Upstream::reason_for_new_connection(const Call& call) const {
+  if (!unverified_.may_reuse_host(call.endpoint, steady_now())) return ConnectReason::kHostUnderSuspicion;
+  const bool has_other = pool_.has_usable(call.endpoint);
+  return has_other ? ConnectReason::kCertainRefusal : ConnectReason::kNoIdleConnection;
+}
+
 bool Upstream::has_room() const { return exchanges_.size() + pool_.size() < limits_.max_connections; }
 
 // `only_one`: probes, which always connect, would otherwise fill the host's table with idle connections.
@@ -508,17 +518,10 @@
 }
 
 void Upstream::on_surplus(const HostConnection& connection, const std::string& bytes) {
-  ++counters_.surplus_replies;
-  const std::vector<std::string> doubtful = unverified_.on_surplus(connection.endpoint, steady_now());
-  if (unverified_.is_new_suspect()) {
-    std::fprintf(stderr,
-                 "host %s: %zu bytes that answer no request, after %d requests on connection %llu: each of "
-                 "its connections carries one request for %lld s\n",
-                 address_text(connection).c_str(), bytes.size(), connection.requests,
-                 static_cast<unsigned long long>(connection.id),
-                 static_cast<long long>(UnverifiedReplies::kNoReuseTime / kSecond));
-  }
-  report_doubtful(doubtful, "their host sent bytes that answer no request");
+  const Time now = steady_now();
+  log_.on_surplus(now, address_text(connection), connection.id, connection.requests, bytes.size());
+  const std::vector<std::string> doubtful = unverified_.on_surplus(connection.endpoint, now);
+  report_doubtful(doubtful, DoubtReason::kSurplusBytes);
   const Time retry_after = longest_retry_after(bytes);
   if (retry_after > 0 && reply_callbacks_.on_retry_after) {
     boost::asio::post(io_, [this, endpoint = connection.endpoint, retry_after] {
@@ -530,7 +533,7 @@
 // Posted, as the attempt's own end is reported first.
 void Upstream::report_confirmed(std::vector<std::string> ids) {
   if (ids.empty()) return;
-  counters_.confirmed_replies += ids.size();
+  log_.on_confirmed(ids.size());
   if (!reply_callbacks_.on_confirmed) return;
   ++posted_verdicts_;
   boost::asio::post(io_, [this, ids = std::move(ids)] {
@@ -539,16 +542,9 @@
   });
 }
 
-void Upstream::report_doubtful(std::vector<std::string> ids, const char* reason) {
+void Upstream::report_doubtful(std::vector<std::string> ids, DoubtReason reason) {
   if (ids.empty()) return;
-  counters_.doubtful_replies += ids.size();
-  const Time now = steady_now();
-  if (doubt_logged_at_ == 0 || now - doubt_logged_at_ >= kDoubtLogInterval) {
-    doubt_logged_at_ = now;
-    std::fprintf(
-        stderr, "messages ended by replies that are in doubt, as %s: %zu, the first %s (%llu so far)\n",
-        reason, ids.size(), ids.front().c_str(), static_cast<unsigned long long>(counters_.doubtful_replies));
-  }
+  log_.on_doubtful(steady_now(), ids, reason);
   if (!reply_callbacks_.on_doubtful) return;
   ++posted_verdicts_;
   boost::asio::post(io_, [this, ids = std::move(ids)] {
@@ -557,12 +553,13 @@
   });
 }
 
-void Upstream::end_unverified() { report_doubtful(unverified_.on_all_ended(), "the relay ends"); }
+void Upstream::end_unverified() { report_doubtful(unverified_.on_all_ended(), DoubtReason::kRelayEnds); }
 
 void Upstream::sweep() {
   pool_.sweep();
-  report_doubtful(unverified_.on_message_time_up(steady_now()), "their time is up");
+  report_doubtful(unverified_.on_message_time_up(steady_now()), DoubtReason::kMessageTimeUp);
   unverified_.forget_old_suspects(steady_now());
+  log_.write_summary_if_due(steady_now());
   sweep_timer_.expires_after(kSweepInterval);
   sweep_timer_.async_wait([this](const Error& error) {
     if (!error) sweep();
--- a/relay/upstream.h
+++ b/relay/upstream.h
@@ -14,6 +14,7 @@
 #include "directory.h"
 #include "message.h"
 #include "unverified_replies.h"
+#include "upstream_log.h"
 
 namespace firspool::relay {
 
@@ -54,16 +55,6 @@
     // A reply that answers no known request asked to wait.
     std::function<void(const Endpoint&, Time retry_after)> on_retry_after;
   };
-  struct Counters {
-    uint64_t new_connections = 0;
-    uint64_t reused_connections = 0;  // times that an idle connection was used again
-    uint64_t surplus_replies = 0;     // times that bytes came that answer no request
-    uint64_t calls_given_up = 0;      // by a reply on a used connection that did not deliver their message
-    uint64_t unverified_replies = 0;  // that ended a message; confirmed or in doubt later
-    uint64_t confirmed_replies = 0;
-    uint64_t doubtful_replies = 0;
-  };
-
   Upstream(boost::asio::io_context& io, Limits limits, std::vector<std::string> report_fields,
            MayStart may_start, MayProbe may_probe, AttemptCallback on_attempt_ended,
            ProbeCallback on_probe_ended, ReplyCallbacks reply_callbacks = {});
@@ -78,20 +69,22 @@
   size_t in_flight() const { return exchanges_.size(); }
   void end_unverified();  // at the end of the process, as if all connections ended
   bool has_unverified() const { return !unverified_.empty() || posted_verdicts_ > 0; }
-  const Counters& counters() const { return counters_; }
+  const UpstreamLog::Counters& counters() const { return log_.counters(); }
+  void log_summary() { log_.write_summary(); }
 
  private:
   class Exchange;
 
   ConnectionPool::Hooks pool_hooks();
-  ConnectionPool::ConnectionPtr make_connection(const Endpoint& endpoint);
+  ConnectionPool::ConnectionPtr make_connection(const Endpoint& endpoint, ConnectReason reason);
   ConnectionPool::ConnectionPtr take_idle(const Call& call);
+  ConnectReason reason_for_new_connection(const Call& call) const;
   bool has_room() const;
   void keep_idle(ConnectionPool::ConnectionPtr connection, bool only_one);
   void drain(ConnectionPool::ConnectionPtr connection, Time close_at, bool stop_sending);
   void on_surplus(const HostConnection& connection, const std::string& bytes);
   void report_confirmed(std::vector<std::string> ids);
-  void report_doubtful(std::vector<std::string> ids, const char* reason);
+  void report_doubtful(std::vector<std::string> ids, DoubtReason reason);
   void start(std::shared_ptr<Exchange> exchange);
   void sweep();
 
@@ -103,14 +96,13 @@
   AttemptCallback on_attempt_ended_;
   ProbeCallback on_probe_ended_;
   ReplyCallbacks reply_callbacks_;
-  Counters counters_;
+  UpstreamLog log_;
   UnverifiedReplies unverified_;
   ConnectionPool pool_;
   boost::asio::steady_timer sweep_timer_;
   uint64_t last_probe_id_ = 0;
   ConnectionId last_connection_id_ = 0;
   size_t posted_verdicts_ = 0;  // not yet reported
-  Time doubt_logged_at_ = 0;    // 0: never
   std::map<std::tuple<bool, uint64_t, int>, std::shared_ptr<Exchange>> exchanges_;
   std::vector<std::shared_ptr<Exchange>> deferred_;  // waiting for retry_deferred
 };
--- a/tests/unverified_replies_test.cpp
+++ b/tests/unverified_replies_test.cpp
@@ -75,7 +75,6 @@
   replies.add(3, kOtherHost, reply("c", 0));
   EXPECT_TRUE(replies.may_reuse_host(kHost, 0));
   EXPECT_EQ(replies.on_surplus(kHost, 0), (Ids{"a", "b"}));
-  EXPECT_TRUE(replies.is_new_suspect());
   EXPECT_FALSE(replies.may_reuse_host(kHost, UnverifiedReplies::kNoReuseTime - 1));
   EXPECT_TRUE(replies.may_reuse_host(kHost, UnverifiedReplies::kNoReuseTime));
   EXPECT_TRUE(replies.may_reuse_host(kOtherHost, 0));
