A proved reply is confirmed only if its host sends no surplus bytes for five seconds more

Need: a host may copy an answer into a call that it then drops, and answer the next ones on that connection; in their order its answers look whole, so the lost call's reply counted as proved within two or three seconds. On the wire nothing tells that call from one that was answered, but a host that copies answers seldom does so once. Change: what is proved waits five seconds; surplus bytes of its host meanwhile put it in doubt as all others. The end of its connection does not.

--- a/relay/unverified_replies.cpp
+++ b/relay/unverified_replies.cpp
@@ -26,18 +26,22 @@
   move_ids_of(connection.replies, out);
 }
 
-std::vector<std::string> UnverifiedReplies::add(ConnectionId connection, const Endpoint& endpoint,
-                                                UnverifiedReply reply) {
+void UnverifiedReplies::prove(Connection& connection, std::vector<UnverifiedReply>& replies, size_t count,
+                              Time now) {
+  const auto end = replies.begin() + static_cast<std::ptrdiff_t>(count);
+  for (auto reply = replies.begin(); reply != end; ++reply) {
+    proved_.push_back({connection.endpoint, std::move(reply->message_id), now + kConfirmationDelay});
+  }
+  replies.erase(replies.begin(), end);
+}
+
+void UnverifiedReplies::add(ConnectionId connection, const Endpoint& endpoint, UnverifiedReply reply) {
   Connection& entry = connections_[connection];
+  const Time now = reply.settled;
   entry.endpoint = endpoint;
   entry.replies.push_back(std::move(reply));
-  std::vector<std::string> confirmed;
-  if (entry.before_quiet.size() + entry.replies.size() > kProvingReplies) {
-    std::vector<UnverifiedReply>& from = entry.before_quiet.empty() ? entry.replies : entry.before_quiet;
-    confirmed.push_back(std::move(from.front().message_id));
-    from.erase(from.begin());
-  }
-  return confirmed;
+  if (entry.before_quiet.size() + entry.replies.size() <= kProvingReplies) return;
+  prove(entry, entry.before_quiet.empty() ? entry.replies : entry.before_quiet, 1, now);
 }
 
 bool UnverifiedReplies::may_reuse_host(const Endpoint& endpoint, Time now) const {
@@ -45,13 +49,21 @@
   return it == suspect_until_.end() || now >= it->second;
 }
 
-std::vector<std::string> UnverifiedReplies::on_quiet(ConnectionId connection, Time now) {
-  std::vector<std::string> confirmed;
+void UnverifiedReplies::on_quiet(ConnectionId connection, Time now) {
   const auto it = connections_.find(connection);
-  if (it == connections_.end() || it->second.replies.empty()) return confirmed;
-  if (now < it->second.replies.back().settled + kQuietTime) return confirmed;
-  move_ids_of(it->second.before_quiet, confirmed);
-  it->second.before_quiet = std::exchange(it->second.replies, {});
+  if (it == connections_.end() || it->second.replies.empty()) return;
+  Connection& entry = it->second;
+  if (now < entry.replies.back().settled + kQuietTime) return;
+  prove(entry, entry.before_quiet, entry.before_quiet.size(), now);
+  entry.before_quiet = std::exchange(entry.replies, {});
+}
+
+std::vector<std::string> UnverifiedReplies::take_confirmed(Time now) {
+  std::vector<std::string> confirmed;
+  while (!proved_.empty() && proved_.front().confirmed_at <= now) {
+    confirmed.push_back(std::move(proved_.front().message_id));
+    proved_.pop_front();
+  }
   return confirmed;
 }
 
@@ -71,6 +83,10 @@
   for (auto& [id, connection] : connections_) {
     if (connection.endpoint == endpoint) move_ids(connection, doubtful);
   }
+  for (ProvedReply& reply : proved_) {
+    if (reply.endpoint == endpoint) doubtful.push_back(std::move(reply.message_id));
+  }
+  std::erase_if(proved_, [&](const ProvedReply& reply) { return reply.endpoint == endpoint; });
   std::erase_if(connections_, [](const auto& entry) { return entry.second.empty(); });
   return doubtful;
 }
@@ -88,6 +104,7 @@
   std::vector<std::string> doubtful;
   for (auto& [id, connection] : connections_) move_ids(connection, doubtful);
   connections_.clear();
+  for (ProvedReply& reply : proved_) reply.confirmed_at = 0;
   return doubtful;
 }
 
--- a/relay/unverified_replies.h
+++ b/relay/unverified_replies.h
@@ -5,14 +5,17 @@
 //
 // Silence after a reply is no proof, as a host that hangs is silent whatever it owes. Nor is the next reply,
 // which may be the one that was owed. But replies come in the order of their requests: a host that owed one
-// and replies again has to send one too many. So a reply is confirmed
+// and replies again has to send one too many. So a reply is proved
 // - once the connection was quiet after it, then carried a call that was delivered, and was quiet again, or
 // - once so many later replies delivered their messages that the host would owe as many.
-// It is in doubt, and its message needs a notice, if bytes come that answer no request, if a later call
-// fails, if the connection ends, or if the message's time is up before. No I/O.
+// It is confirmed if its host sends no surplus bytes for a while longer: a host that copies replies may also
+// drop calls, and then owes none. A reply is in doubt, and its message needs a notice, if its host sends
+// bytes that answer no request, or if, before it is proved, a later call fails, the connection ends, or the
+// message's time is up. No I/O.
 #pragma once
 
 #include <cstdint>
+#include <deque>
 #include <map>
 #include <string>
 #include <vector>
@@ -33,31 +36,34 @@
  public:
   // A connection is quiet if it was idle for so long and nothing arrived.
   static constexpr Time kQuietTime = 1'000'000;
-  // So many later replies confirm one without a quiet time.
+  // So many later replies prove one without a quiet time.
   static constexpr size_t kProvingReplies = 8;
   // For this long after surplus bytes of a host each of its connections carries one request.
   static constexpr Time kNoReuseTime = 60'000'000;
+  // From the proof of a reply to its confirmation.
+  static constexpr Time kConfirmationDelay = 5'000'000;
   // A message is in doubt this long before its time is up, so that its notice comes in time.
   static constexpr Time kNoticeLead = 500'000;
 
-  // Returns the messages that are thereby confirmed.
-  std::vector<std::string> add(ConnectionId connection, const Endpoint& endpoint, UnverifiedReply reply);
+  void add(ConnectionId connection, const Endpoint& endpoint, UnverifiedReply reply);
 
   bool may_reuse_host(const Endpoint& endpoint, Time now) const;
   bool has_replies(ConnectionId connection) const { return connections_.contains(connection); }
-  bool empty() const { return connections_.empty(); }
+  bool empty() const { return connections_.empty() && proved_.empty(); }
 
-  // The connection is idle, and nothing arrived on it since its last reply. Returns the messages that are
-  // thereby confirmed.
-  std::vector<std::string> on_quiet(ConnectionId connection, Time now);
+  // The connection is idle, and nothing arrived on it since its last reply.
+  void on_quiet(ConnectionId connection, Time now);
+  // Removes and returns the messages that are confirmed by now.
+  std::vector<std::string> take_confirmed(Time now);
 
   // The calls below return the messages that are thereby in doubt.
   std::vector<std::string> on_message_time_up(Time now);
-  // The host sent bytes that answer no request: replies on its other connections are in doubt as well.
+  // The host sent bytes that answer no request: all of its replies are in doubt.
   std::vector<std::string> on_surplus(const Endpoint& endpoint, Time now);
   // The connection ended, or a call on it ended without delivering its message: that may be the end of an
   // earlier call.
   std::vector<std::string> on_ended(ConnectionId connection);
+  // All connections end; proved replies count as confirmed from now on.
   std::vector<std::string> on_all_ended();
   void forget_old_suspects(Time now);
 
@@ -68,9 +74,16 @@
     std::vector<UnverifiedReply> replies;       // those since, in order of `settled`
     bool empty() const { return before_quiet.empty() && replies.empty(); }
   };
+  struct ProvedReply {
+    Endpoint endpoint;
+    std::string message_id;
+    Time confirmed_at = 0;
+  };
   static void move_ids(Connection& connection, std::vector<std::string>& out);
+  void prove(Connection& connection, std::vector<UnverifiedReply>& replies, size_t count, Time now);
 
   std::map<ConnectionId, Connection> connections_;  // those with unverified replies
+  std::deque<ProvedReply> proved_;                  // in order of `confirmed_at`
   std::map<Endpoint, Time> suspect_until_;
 };
 
--- a/relay/upstream.cpp
+++ b/relay/upstream.cpp
@@ -332,8 +332,8 @@
     const bool unverified = reply_started_ && !is_first_request() && (delivered || !refusal_is_certain_);
     if (reply_started_ && !delivered) connection_->all_delivered = false;
     if (unverified && final_) {
-      owner_->report_confirmed(owner_->unverified_.add(connection_->id, call_.endpoint,
-                                                       {call_.call_id, steady_now(), call_.message_due}));
+      owner_->unverified_.add(connection_->id, call_.endpoint,
+                              {call_.call_id, steady_now(), call_.message_due});
       owner_->log_.on_unverified_delivery();
     }
     if (!final_ && request_state_ != RequestState::kNotSent)
@@ -445,7 +445,7 @@
     report_doubtful(unverified_.on_ended(connection.id), DoubtReason::kConnectionEnded);
   };
   hooks.on_quiet = [this](const HostConnection& connection) {
-    report_confirmed(unverified_.on_quiet(connection.id, steady_now()));
+    unverified_.on_quiet(connection.id, steady_now());
   };
   return hooks;
 }
@@ -553,10 +553,14 @@
   });
 }
 
-void Upstream::end_unverified() { report_doubtful(unverified_.on_all_ended(), DoubtReason::kRelayEnds); }
+void Upstream::end_unverified() {
+  report_doubtful(unverified_.on_all_ended(), DoubtReason::kRelayEnds);
+  report_confirmed(unverified_.take_confirmed(steady_now()));
+}
 
 void Upstream::sweep() {
   pool_.sweep();
+  report_confirmed(unverified_.take_confirmed(steady_now()));
   report_doubtful(unverified_.on_message_time_up(steady_now()), DoubtReason::kMessageTimeUp);
   unverified_.forget_old_suspects(steady_now());
   log_.write_summary_if_due(steady_now());
--- a/tests/unverified_replies_test.cpp
+++ b/tests/unverified_replies_test.cpp
@@ -23,10 +23,15 @@
   return {id, settled, due};
 }
 
+constexpr Time kDelay = UnverifiedReplies::kConfirmationDelay;
+
 TEST(UnverifiedReplies, SilenceAloneConfirmsNone) {
   UnverifiedReplies replies;
   replies.add(1, kHost, reply("a", 0));
-  for (Time now = 0; now < 50 * kSecond; now += kSecond) EXPECT_EQ(replies.on_quiet(1, now), Ids{});
+  for (Time now = 0; now < 50 * kSecond; now += kSecond) {
+    replies.on_quiet(1, now);
+    EXPECT_EQ(replies.take_confirmed(now), Ids{});
+  }
   EXPECT_EQ(replies.on_ended(1), Ids{"a"});
 }
 
@@ -34,27 +39,46 @@
   UnverifiedReplies replies;
   replies.add(1, kHost, reply("a", 0));
   replies.add(1, kHost, reply("b", 1));
-  EXPECT_EQ(replies.on_quiet(1, kQuiet + 1), Ids{});
-  EXPECT_EQ(replies.add(1, kHost, reply("c", 2 * kSecond)), Ids{});
-  EXPECT_EQ(replies.on_quiet(1, 2 * kSecond + kQuiet - 1), Ids{});
-  EXPECT_EQ(replies.on_quiet(1, 2 * kSecond + kQuiet), (Ids{"a", "b"}));
-  EXPECT_EQ(replies.on_quiet(1, 9 * kSecond), Ids{});
+  replies.on_quiet(1, kQuiet + 1);
+  replies.add(1, kHost, reply("c", 2 * kSecond));
+  replies.on_quiet(1, 2 * kSecond + kQuiet - 1);
+  replies.on_quiet(1, 2 * kSecond + kQuiet);
+  EXPECT_EQ(replies.take_confirmed(2 * kSecond + kQuiet + kDelay - 1), Ids{});
+  EXPECT_EQ(replies.take_confirmed(2 * kSecond + kQuiet + kDelay), (Ids{"a", "b"}));
+  replies.on_quiet(1, 9 * kSecond);
+  EXPECT_EQ(replies.take_confirmed(50 * kSecond), Ids{});
   EXPECT_EQ(replies.on_ended(1), Ids{"c"});
 }
 
 TEST(UnverifiedReplies, ManyLaterRepliesConfirmOneWithoutSilence) {
   UnverifiedReplies replies;
   for (size_t i = 0; i < UnverifiedReplies::kProvingReplies; ++i) {
-    EXPECT_EQ(replies.add(1, kHost, reply(std::to_string(i), 0)), Ids{});
-    if (i == 1) {
-      EXPECT_EQ(replies.on_quiet(1, kQuiet), Ids{});
-    }
+    replies.add(1, kHost, reply(std::to_string(i), 0));
+    if (i == 1) replies.on_quiet(1, kQuiet);
   }
-  EXPECT_EQ(replies.add(1, kHost, reply("next", 0)), Ids{"0"});
-  EXPECT_EQ(replies.add(1, kHost, reply("one more", 0)), Ids{"1"});
+  EXPECT_EQ(replies.take_confirmed(kDelay), Ids{});
+  replies.add(1, kHost, reply("next", 0));
+  EXPECT_EQ(replies.take_confirmed(kDelay), Ids{"0"});
+  replies.add(1, kHost, reply("one more", 0));
+  EXPECT_EQ(replies.take_confirmed(kDelay), Ids{"1"});
   EXPECT_EQ(replies.on_ended(1).size(), UnverifiedReplies::kProvingReplies);
 }
 
+TEST(UnverifiedReplies, SurplusBeforeItIsConfirmedPutsAProvedReplyInDoubt) {
+  UnverifiedReplies replies;
+  for (const ConnectionId connection : {1, 2}) {
+    replies.add(connection, connection == 1 ? kHost : kOtherHost, reply("a", 0));
+    replies.on_quiet(connection, kQuiet);
+    replies.add(connection, connection == 1 ? kHost : kOtherHost, reply("b", kQuiet));
+    replies.on_quiet(connection, 2 * kQuiet);
+    EXPECT_EQ(replies.on_ended(connection), Ids{"b"});
+  }
+  EXPECT_EQ(replies.on_surplus(kHost, 3 * kQuiet), Ids{"a"});
+  EXPECT_EQ(replies.on_all_ended(), Ids{});
+  EXPECT_EQ(replies.take_confirmed(3 * kQuiet), Ids{"a"});
+  EXPECT_TRUE(replies.empty());
+}
+
 TEST(UnverifiedReplies, AMessageIsInDoubtBeforeItsTimeIsUp) {
   UnverifiedReplies replies;
   replies.add(1, kHost, reply("before", 0, 4 * kSecond));
@@ -112,6 +136,8 @@
       now_ += kSecond;
       expect_quiet_or_surplus();
     }
+    now_ += kDelay;
+    expect_confirmed_delivered();
     put_in_doubt(replies_.on_message_time_up(kDue));
     for (const std::string& id : ended_) {
       EXPECT_TRUE(is_delivered(id) || in_doubt_.contains(id))
@@ -141,8 +167,10 @@
 
   void put_in_doubt(const Ids& ids) { in_doubt_.insert(ids.begin(), ids.end()); }
 
-  void expect_delivered(const Ids& confirmed) const {
-    for (const std::string& id : confirmed) EXPECT_TRUE(is_delivered(id)) << id << " is confirmed";
+  void expect_confirmed_delivered() {
+    for (const std::string& id : replies_.take_confirmed(now_)) {
+      EXPECT_TRUE(is_delivered(id)) << id << " is confirmed";
+    }
   }
 
   bool is_delivered(const std::string& id) const {
@@ -160,7 +188,8 @@
       open_ = false;
       return put_in_doubt(replies_.on_surplus(kHost, now_));
     }
-    expect_delivered(replies_.on_quiet(1, now_));
+    replies_.on_quiet(1, now_);
+    expect_confirmed_delivered();
   }
 
   // In order; once it hangs for good, none follows.
@@ -193,7 +222,8 @@
     }
     if (number == 0) return;  // the first reply is certain
     ended_.insert(id);
-    expect_delivered(replies_.add(1, kHost, reply(id, now_, kDue)));
+    replies_.add(1, kHost, reply(id, now_, kDue));
+    expect_confirmed_delivered();
   }
 
   std::mt19937 random_;
