--- a/tests/surplus_bytes_test.cpp
+++ b/tests/surplus_bytes_test.cpp
@@ -157,10 +157,13 @@
     const size_t known = connections_.size();
     for (size_t i = 0; i < known; ++i) {
       if (ready[position++].revents == 0 || !connections_[i].is_open()) continue;
-      if (const auto request = read_request(connections_[i])) {
-        on_call(i, request->headers.at("x-call-id"));
-      } else {
+      const auto request = read_request(connections_[i]);
+      if (!request) {
         connections_[i].close();
+      } else if (const auto id = request->headers.find("x-call-id"); id != request->headers.end()) {
+        on_call(i, id->second);
+      } else {
+        violations_.push_back("a request without an id: " + request->request_line);
       }
     }
     if (arrives) {
