--- a/limits/meter.cpp
+++ b/limits/meter.cpp
@@ -2,9 +2,11 @@
 
 #include <dirent.h>
 #include <fcntl.h>
+#include <linux/kcmp.h>
 #include <signal.h>
 #include <sys/prctl.h>
 #include <sys/stat.h>
+#include <sys/syscall.h>
 #include <sys/wait.h>
 #include <time.h>
 #include <unistd.h>
@@ -15,6 +17,7 @@
 #include <cstdlib>
 #include <cstring>
 #include <string_view>
+#include <vector>
 
 namespace umberhoist::limits {
 namespace {
@@ -74,6 +77,10 @@
   return b <= 0 || (a == b && std::memcmp(own, other, static_cast<size_t>(a)) == 0);
 }
 
+// Whether both have one address space (CLONE_VM), as the tracer of a leak check has. Its pages are in the
+// proportional size of each such process in full.
+bool share_address_space(pid_t a, pid_t b) { return ::syscall(SYS_kcmp, a, b, KCMP_VM, 0, 0) == 0; }
+
 struct FolderUsage {
   size_t block_bytes = 0;
   size_t allocated_bytes = 0;
@@ -165,21 +172,24 @@
 
 void ResourceMeter::add_memory(ResourceUsage& out) const {
   size_t resident_sum = 0;
-  int process_count = 0;
+  std::vector<pid_t> counted;
   for (const auto& [pid, cpu] : processes_) {
     if (has_not_execed(pid)) continue;
+    const bool shared = std::any_of(counted.begin(), counted.end(),
+                                    [pid = pid](pid_t other) { return share_address_space(pid, other); });
+    if (shared) continue;
     const std::string status = read_file(proc_path(pid, "status"));
     const size_t resident = size_field(status, "VmRSS:");
     if (resident == 0) continue;
-    ++process_count;
+    counted.push_back(pid);
     resident_sum += resident;
     out.peak_resident = std::max(out.peak_resident, size_field(status, "VmHWM:"));
   }
   out.resident = resident_sum;
-  if (process_count < 2) return;
+  if (counted.size() < 2) return;
   // Shared pages are in the resident size of each process; Pss counts them once but costs more to read.
   size_t proportional_sum = 0;
-  for (const auto& [pid, cpu] : processes_)
+  for (const pid_t pid : counted)
     proportional_sum += size_field(read_file(proc_path(pid, "smaps_rollup")), "\nPss:");
   if (proportional_sum > 0) out.resident = std::min(resident_sum, proportional_sum);
 }
--- a/tests/limits/helper.cpp
+++ b/tests/limits/helper.cpp
@@ -1,5 +1,6 @@
-// Helper program of the ResourceMeter tests. Uses resources as its first argument says ("burst", "helpers"),
-// writes one byte to descriptor 9, and then waits to be killed.
+// Helper program of the ResourceMeter tests. Uses resources as its first argument says ("burst", "helpers",
+// "shared"), writes one byte to descriptor 9, and then waits to be killed.
+#include <sched.h>
 #include <sys/mman.h>
 #include <sys/prctl.h>
 #include <sys/socket.h>
@@ -18,7 +19,7 @@
   if (!keep) ::munmap(block, bytes);
 }
 
-void wait_forever() {
+[[noreturn]] void wait_forever() {
   for (;;) ::pause();
 }
 
@@ -38,6 +39,12 @@
       wait_forever();
     }
   }
+  if (role == "shared") {
+    allocate(60 * kMb, true);
+    static char stack[64 * 1024];
+    const auto wait = [](void*) -> int { wait_forever(); };
+    ::clone(wait, stack + sizeof stack, CLONE_VM | SIGCHLD, nullptr);
+  }
   if (::write(9, "x", 1) != 1) return 1;
   wait_forever();
 }
--- a/tests/limits/meter_test.cpp
+++ b/tests/limits/meter_test.cpp
@@ -97,6 +97,19 @@
   EXPECT_TRUE(eventually([&] { return meter.sample(steady_now()).resident == 0; }));
 }
 
+TEST(Meter, CountsAnAddressSpaceOfTwoProcessesOnce) {
+  const Folder folder;
+  adopt_orphans();
+  const Child child("shared", folder.path / "state");
+  ASSERT_TRUE(child.ready());
+  ResourceMeter meter(child.pid(), folder.path / "state", folder.path / "tmp");
+  EXPECT_TRUE(eventually([&] { return meter.sample(steady_now()).processes == 2; }));
+  const ResourceUsage usage = meter.sample(steady_now());
+  EXPECT_GT(usage.resident, 55 * kMb);
+  EXPECT_LT(usage.resident, 110 * kMb);
+  meter.signal(SIGKILL);
+}
+
 TEST(Meter, CountsFoldersAsThePlatformDoes) {
   const Folder folder;
   const Child child("nothing", folder.path / "state");
