Known red: a history of power losses that loses a record; the same on each machine

Traced: the test draws two numbers in the arguments of one call, whose order compilers choose, so arm64 plays other histories than x86-64. Its cause was not searched for further.

--- a/tests/state/power_test.cpp
+++ b/tests/state/power_test.cpp
@@ -77,7 +77,8 @@
       messages_.at(id).done_position =
           journal_->has_no_backlog() ? journal_->written_position() : kUnwrittenDone;
     } else if (choice < 74) {
-      journal_->put_metadata("fact" + std::to_string(below(4)), std::string(below(200), 'f'));
+      const std::string value(below(200), 'f');
+      journal_->put_metadata("fact" + std::to_string(below(4)), value);
     } else if (choice < 80) {
       journal_->compact(200 + below(3000));
     } else if (choice < 97) {
@@ -228,6 +229,15 @@
 
 class PowerLoss : public ::testing::TestWithParam<int> {};
 
+TEST(PowerLossOfSeed1492, LosesNothingThatASyncHadCovered) {
+  constexpr uint64_t kSeed = 1492;
+  RandomRun run(kSeed, 30'000 + 10'000 * (kSeed % 1000 % 3));
+  for (int step = 0; step < 250 && !::testing::Test::HasFailure(); ++step) {
+    run.step();
+    if (step % 5 == 0) run.lose_power(2);
+  }
+}
+
 TEST_P(PowerLoss, LosesNothingThatASyncHadCoveredWhicheverBlocksItTakes) {
   size_t power_losses = 0, failed_syncs = 0, flips = 0, flips_with_effect = 0;
   const char* runs_text = std::getenv("UMBERHOIST_POWER_RUNS");  // runs per shard, for long tests
