A proved reply falls in doubt if its connection fails or ends before it is confirmed

Callers saw: a message lost where a host wrote a copy of an earlier answer into its call, hung, wrote a second copy into the further call on that connection more than a second later, and closed the connection 1.3 s after that. Cause: the further reply proved the first one, and the end of the connection withdrew only replies that were not proved yet. Change: until a reply is confirmed (5 s), a failed call or the end of its connection puts it in doubt, as a surplus byte did. Why: one that hangs or drops calls shows it there first. What is left: a host that neither breaks, fails nor sends too much for those five seconds. TheEndOfItsConnectionBeforeItIsConfirmedPutsAProvedReplyInDoubt fails before.

--- a/relay/unverified_replies.cpp
+++ b/relay/unverified_replies.cpp
@@ -26,22 +26,31 @@
   move_ids_of(connection.replies, out);
 }
 
-void UnverifiedReplies::prove(Connection& connection, std::vector<UnverifiedReply>& replies, size_t count,
+void UnverifiedReplies::prove(ConnectionId connection, std::vector<UnverifiedReply>& replies, size_t count,
                               Time now) {
+  const Endpoint& endpoint = connections_.at(connection).endpoint;
   const auto end = replies.begin() + static_cast<std::ptrdiff_t>(count);
   for (auto reply = replies.begin(); reply != end; ++reply) {
-    proved_.push_back({connection.endpoint, std::move(reply->message_id), now + kConfirmationDelay});
+    proved_.push_back({connection, endpoint, std::move(reply->message_id), now + kConfirmationDelay});
   }
   replies.erase(replies.begin(), end);
 }
 
+template <class Predicate>
+void UnverifiedReplies::move_proved_ids(Predicate is_doubtful, std::vector<std::string>& out) {
+  for (ProvedReply& reply : proved_) {
+    if (is_doubtful(reply)) out.push_back(std::move(reply.message_id));
+  }
+  std::erase_if(proved_, is_doubtful);
+}
+
 void UnverifiedReplies::add(ConnectionId connection, const Endpoint& endpoint, UnverifiedReply reply) {
   Connection& entry = connections_[connection];
   const Time now = reply.settled;
   entry.endpoint = endpoint;
   entry.replies.push_back(std::move(reply));
   if (entry.before_quiet.size() + entry.replies.size() <= kProvingReplies) return;
-  prove(entry, entry.before_quiet.empty() ? entry.replies : entry.before_quiet, 1, now);
+  prove(connection, entry.before_quiet.empty() ? entry.replies : entry.before_quiet, 1, now);
 }
 
 bool UnverifiedReplies::may_reuse_host(const Endpoint& endpoint, Time now) const {
@@ -54,7 +63,7 @@
   if (it == connections_.end() || it->second.replies.empty()) return;
   Connection& entry = it->second;
   if (now < entry.replies.back().settled + kQuietTime) return;
-  prove(entry, entry.before_quiet, entry.before_quiet.size(), now);
+  prove(connection, entry.before_quiet, entry.before_quiet.size(), now);
   entry.before_quiet = std::exchange(entry.replies, {});
 }
 
@@ -83,16 +92,14 @@
   for (auto& [id, connection] : connections_) {
     if (connection.endpoint == endpoint) move_ids(connection, doubtful);
   }
-  for (ProvedReply& reply : proved_) {
-    if (reply.endpoint == endpoint) doubtful.push_back(std::move(reply.message_id));
-  }
-  std::erase_if(proved_, [&](const ProvedReply& reply) { return reply.endpoint == endpoint; });
+  move_proved_ids([&](const ProvedReply& reply) { return reply.endpoint == endpoint; }, doubtful);
   std::erase_if(connections_, [](const auto& entry) { return entry.second.empty(); });
   return doubtful;
 }
 
 std::vector<std::string> UnverifiedReplies::on_ended(ConnectionId connection) {
   std::vector<std::string> doubtful;
+  move_proved_ids([&](const ProvedReply& reply) { return reply.connection == connection; }, doubtful);
   const auto it = connections_.find(connection);
   if (it == connections_.end()) return doubtful;
   move_ids(it->second, doubtful);
--- a/relay/unverified_replies.h
+++ b/relay/unverified_replies.h
@@ -8,10 +8,10 @@
 // and replies again has to send one too many. So a reply is proved
 // - once the connection was quiet after it, then carried a call that was delivered, and was quiet again, or
 // - once so many later replies delivered their messages that the host would owe as many.
-// It is confirmed if its host sends no surplus bytes for a while longer: a host that copies replies may also
-// drop calls, and then owes none. A reply is in doubt, and its message needs a notice, if its host sends
-// bytes that answer no request, or if, before it is proved, a later call fails, the connection ends, or the
-// message's time is up. No I/O.
+// It is confirmed if its host sends no surplus bytes for a while longer, and its connection neither fails nor
+// ends: a host that copies replies may also drop calls, or hang. A reply is in doubt, and its message needs a
+// notice, if before that its host sends bytes that answer no request, a later call on the connection fails or
+// the connection ends, or if the message's time is up and the reply is not proved. No I/O.
 #pragma once
 
 #include <cstdint>
@@ -75,12 +75,15 @@
     bool empty() const { return before_quiet.empty() && replies.empty(); }
   };
   struct ProvedReply {
+    ConnectionId connection = 0;
     Endpoint endpoint;
     std::string message_id;
     Time confirmed_at = 0;
   };
   static void move_ids(Connection& connection, std::vector<std::string>& out);
-  void prove(Connection& connection, std::vector<UnverifiedReply>& replies, size_t count, Time now);
+  void prove(ConnectionId connection, std::vector<UnverifiedReply>& replies, size_t count, Time now);
+  template <class Predicate>
+  void move_proved_ids(Predicate is_doubtful, std::vector<std::string>& out);
 
   std::map<ConnectionId, Connection> connections_;  // those with unverified replies
   std::deque<ProvedReply> proved_;                  // in order of `confirmed_at`
--- a/tests/surplus_bytes_test.cpp
+++ b/tests/surplus_bytes_test.cpp
@@ -23,6 +23,7 @@
 constexpr milliseconds kNoticeSlack{350};  // after a message's time is up (protocol)
 constexpr milliseconds kAnswerDelay{100};  // from the surplus bytes to what follows them
 constexpr milliseconds kLateClose{2000};   // longer than the relay waits for a connection to be quiet
+constexpr milliseconds kQuiet{1300};       // the same, twice of it shorter than a message's lifetime
 constexpr milliseconds kPollInterval{10};
 constexpr int kMaxRounds = 5;  // tries to have a call come on a used connection
 constexpr size_t kCasesPerRelay = 180;
@@ -40,7 +41,8 @@
   kAnswersOneCallLate,  // a further call comes; then the call under test is refused, the further one
                         // delivered
   kHangsThenAnswers,    // further calls come and get no answer for a while; then all are answered in order
-  kHangsPastTheCall     // the same, but the further call comes only after the time of the one under test
+  kHangsPastTheCall,    // the same, but the further call comes only after the time of the one under test
+  kCopiesAgain          // a hang; a further call comes and gets another copy; then the connection is closed
 };
 constexpr Next kAllNext[] = {Next::kDelivers,
                              Next::kRefuses,
@@ -52,7 +54,8 @@
                              Next::kClosesLate,
                              Next::kAnswersOneCallLate,
                              Next::kHangsThenAnswers,
-                             Next::kHangsPastTheCall};
+                             Next::kHangsPastTheCall,
+                             Next::kCopiesAgain};
 
 const char* name_of(Next next) {
   switch (next) {
@@ -78,6 +81,8 @@
       return "a further call, a hang, then 503 and 200";
     case Next::kHangsPastTheCall:
       return "a hang, a further call, then 503 and 200";
+    case Next::kCopiesAgain:
+      return "a hang, a further call and another copy, a hang, then closed";
   }
   return "";
 }
@@ -256,9 +261,18 @@
           wants_further_call_ = true;
           at(Clock::now() + kAnswerDelay, [this, call] { answer_in_order(call); });
         });
+      case Next::kCopiesAgain:
+        return at(Clock::now() + kQuiet, [this, call] { copy_again(call); });
     }
   }
 
+  void copy_again(size_t call) {
+    const size_t connection = calls_[call].connection;
+    wants_further_call_ = true;
+    at(Clock::now() + kAnswerDelay, [this, connection] { write(connection, case_.earlier); });
+    at(Clock::now() + kAnswerDelay + kQuiet, [this, connection] { connections_[connection].close(); });
+  }
+
   void answer_in_order(size_t call) {
     answer(call, kRefusal);
     for (size_t later = call + 1; later < calls_.size(); ++later) {
--- a/tests/unverified_replies_test.cpp
+++ b/tests/unverified_replies_test.cpp
@@ -64,21 +64,34 @@
   EXPECT_EQ(replies.on_ended(1).size(), UnverifiedReplies::kProvingReplies);
 }
 
+// "a" is proved on the connection, "b" is not.
+void prove_first_of_two(UnverifiedReplies& replies, ConnectionId connection, const Endpoint& host) {
+  replies.add(connection, host, reply("a", 0));
+  replies.on_quiet(connection, kQuiet);
+  replies.add(connection, host, reply("b", kQuiet));
+  replies.on_quiet(connection, 2 * kQuiet);
+}
+
 TEST(UnverifiedReplies, SurplusBeforeItIsConfirmedPutsAProvedReplyInDoubt) {
   UnverifiedReplies replies;
-  for (const ConnectionId connection : {1, 2}) {
-    replies.add(connection, connection == 1 ? kHost : kOtherHost, reply("a", 0));
-    replies.on_quiet(connection, kQuiet);
-    replies.add(connection, connection == 1 ? kHost : kOtherHost, reply("b", kQuiet));
-    replies.on_quiet(connection, 2 * kQuiet);
-    EXPECT_EQ(replies.on_ended(connection), Ids{"b"});
-  }
-  EXPECT_EQ(replies.on_surplus(kHost, 3 * kQuiet), Ids{"a"});
-  EXPECT_EQ(replies.on_all_ended(), Ids{});
+  prove_first_of_two(replies, 1, kHost);
+  prove_first_of_two(replies, 2, kOtherHost);
+  EXPECT_EQ(replies.on_surplus(kHost, 3 * kQuiet), (Ids{"b", "a"}));
+  EXPECT_EQ(replies.on_all_ended(), Ids{"b"});
   EXPECT_EQ(replies.take_confirmed(3 * kQuiet), Ids{"a"});
   EXPECT_TRUE(replies.empty());
 }
 
+TEST(UnverifiedReplies, TheEndOfItsConnectionBeforeItIsConfirmedPutsAProvedReplyInDoubt) {
+  UnverifiedReplies replies;
+  prove_first_of_two(replies, 1, kHost);
+  prove_first_of_two(replies, 2, kHost);
+  EXPECT_EQ(replies.on_ended(1), (Ids{"a", "b"}));
+  EXPECT_EQ(replies.take_confirmed(2 * kQuiet + kDelay), Ids{"a"});
+  EXPECT_EQ(replies.on_ended(2), Ids{"b"});
+  EXPECT_TRUE(replies.empty());
+}
+
 TEST(UnverifiedReplies, AMessageIsInDoubtBeforeItsTimeIsUp) {
   UnverifiedReplies replies;
   replies.add(1, kHost, reply("before", 0, 4 * kSecond));
@@ -125,6 +138,9 @@
   explicit ConnectionModel(uint32_t seed) : random_(seed) {
     calls_until_copy_ = seed % 2 == 0 ? 3 : 19;
     longest_gap_ = seed % 3 == 0 ? 3'000 : 20'000;
+    longest_lateness_ = seed % 5 < 2 ? 3 * kSecond : 900'000;
+    calls_until_rest_ = seed % 5 < 2 ? 1 : 5;
+    calls_until_hang_ = seed % 5 < 2 ? 5 : 30;
   }
 
   void play() {
@@ -179,7 +195,7 @@
   }
 
   void rest(int next) {
-    now_ += next % 5 == 4 ? between(0, 3 * kSecond) : between(0, longest_gap_);
+    now_ += next % calls_until_rest_ == 0 ? between(0, 3 * kSecond) : between(0, longest_gap_);
     expect_quiet_or_surplus();
   }
 
@@ -194,7 +210,8 @@
 
   // In order; once it hangs for good, none follows.
   Answer own_answer(int number) {
-    if (one_in(30)) hung_until_ = one_in(3) ? kNever : now_ + between(kSecond / 2, 6 * kSecond);
+    if (one_in(calls_until_hang_))
+      hung_until_ = one_in(3) ? kNever : now_ + between(kSecond / 2, 6 * kSecond);
     last_answer_at_ = std::max({now_ + between(20'000, 250'000), last_answer_at_, hung_until_});
     return {last_answer_at_, number, !one_in(10)};
   }
@@ -205,7 +222,7 @@
     own_answers_.emplace(id, own);
     write_answer(own);
     for (int copies = 0; copies < 3 && one_in(calls_until_copy_); ++copies) {
-      write_answer({own.at + between(0, 900'000), number, own.delivers});
+      write_answer({own.at + between(0, longest_lateness_), number, own.delivers});
     }
     const Time deadline = now_ + kCallTimeout;
     if (answers_.front().at > deadline) {
@@ -229,6 +246,9 @@
   std::mt19937 random_;
   Time calls_until_copy_ = 0;  // in the mean
   Time longest_gap_ = 0;       // between most calls
+  Time longest_lateness_ = 0;  // of a copy
+  int calls_until_rest_ = 0;
+  Time calls_until_hang_ = 0;  // in the mean
   Time now_ = kSecond;
   Time hung_until_ = 0;
   Time last_answer_at_ = 0;
