SurplusBytes plays a kill of the relay too: after the copy, after what follows it, later

Change: each case (a set of cuts; five ways in which the host goes on) with a SIGKILL 50 ms, 200 ms and 1.3 s after the surplus, started again at once. A connection that the relay's end reset counts as given up, as one that it closed does.

--- a/tests/surplus_bytes_test.cpp
+++ b/tests/surplus_bytes_test.cpp
@@ -220,7 +220,9 @@
   bool is_given_up(size_t connection) const {
     const Socket& socket = connections_[connection];
     char byte = 0;
-    return !socket.is_open() || ::recv(socket.fd(), &byte, 1, MSG_PEEK | MSG_DONTWAIT) == 0;
+    if (!socket.is_open()) return true;
+    const ssize_t count = ::recv(socket.fd(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+    return count == 0 || (count < 0 && errno == ECONNRESET);
   }
 
   void play(size_t call) {
@@ -325,7 +327,8 @@
     relay_.emplace(config);
   }
 
-  void play() {
+  // `kill_after`: the relay is killed so long after all cases were reached, and started again.
+  void play(std::optional<milliseconds> kill_after) {
     relay_->start();
     client_ = relay_->client();
     for (CaseHost& host : hosts_) put(host, host.id('a'), milliseconds(60'000), "keyed");
@@ -338,6 +341,7 @@
       }
       run_until([this] { return all(&CaseHost::reached); }, Clock::now() + milliseconds(500));
     }
+    if (kill_after) kill_and_restart(*kill_after);
     while (Clock::now() < last_due_ + kNoticeSlack) {  // a further call may move it
       run_until([] { return false; }, last_due_ + kNoticeSlack + kPollInterval);
     }
@@ -377,6 +381,13 @@
     Clock::time_point due;
   };
 
+  void kill_and_restart(milliseconds delay) {
+    run_until([] { return false; }, Clock::now() + delay);
+    relay_->kill();
+    relay_->start();
+    client_ = relay_->client();
+  }
+
   bool all(bool (CaseHost::*state)() const) const {
     return std::all_of(hosts_.begin(), hosts_.end(), [&](const CaseHost& host) { return (host.*state)(); });
   }
@@ -419,13 +430,14 @@
   size_t needless_notices_ = 0;
 };
 
-void expect_no_message_lost_or_repeated(const std::vector<Case>& cases) {
+void expect_no_message_lost_or_repeated(const std::vector<Case>& cases,
+                                        std::optional<milliseconds> kill_after = {}) {
   size_t reached = 0, messages = 0, needless = 0;
   for (size_t from = 0; from < cases.size(); from += kCasesPerRelay) {
     const size_t to = std::min(from + kCasesPerRelay, cases.size());
     Stage stage(
         {cases.begin() + static_cast<std::ptrdiff_t>(from), cases.begin() + static_cast<std::ptrdiff_t>(to)});
-    stage.play();
+    stage.play(kill_after);
     stage.judge();
     reached += stage.reached();
     messages += stage.messages();
@@ -480,5 +492,15 @@
   expect_no_message_lost_or_repeated(cases_with({std::begin(kAllNext), std::end(kAllNext)}, plays_all()));
 }
 
+TEST(SurplusBytes, AheadOfAKillLoseAndRepeatNoMessage) {
+  const std::vector<Case> cases = cases_with(
+      {Next::kDelivers, Next::kRefuses, Next::kCloses, Next::kStaysSilent, Next::kAnswersOneCallLate},
+      plays_all());
+  for (const milliseconds delay : {kAnswerDelay / 2, 2 * kAnswerDelay, kQuiet}) {
+    SCOPED_TRACE("killed " + std::to_string(delay.count()) + " ms after");
+    expect_no_message_lost_or_repeated(cases, delay);
+  }
+}
+
 }  // namespace
 }  // namespace firspool::testing
