A notice that could not be held back is sent once, whatever becomes of the reply

Change: the relay remembers these messages until the verdict on their replies, and sends and withdraws nothing for them then.

--- a/relay/relay.cpp
+++ b/relay/relay.cpp
@@ -644,15 +644,24 @@
 
 // Ends a message by a reply that may belong to an earlier call. A notice that it failed is recorded, so that
 // a restart sends it, but it is sent only if the reply turns out to be in doubt; `on_confirmed` withdraws it.
-// A notice for a message that was delivered after all does no harm.
+// If it cannot be recorded, it is sent as soon as it can. A notice for a message that was delivered after all
+// does no harm.
 void Relay::end_provisionally(uint64_t number) {
   const Notice notice{open_messages_.at(number).submission.id, false, 0};
-  if (!journal_.record_notice(notice)) return end_message(number, notice);
+  if (!journal_.record_notice(notice)) {
+    noticed_at_once_.insert(notice.id);
+    return end_message(number, notice);
+  }
   if (fleet_) fleet_->on_message_ended(number);
   forget_message(number);
 }
 
+void Relay::on_reply_confirmed(const std::string& id) {
+  if (noticed_at_once_.erase(id) == 0) journal_.record_done(id);
+}
+
 void Relay::on_reply_doubtful(const std::string& id) {
+  if (noticed_at_once_.erase(id) > 0) return;
   unsynced_notices_.push_back({journal_.written_position(), Notice{id, false, 0}});
   send_notices();
   sync();
@@ -668,7 +677,7 @@
 
 Upstream::ReplyCallbacks Relay::reply_callbacks() {
   Upstream::ReplyCallbacks out;
-  out.on_confirmed = [this](const std::string& message) { journal_.record_done(message); };
+  out.on_confirmed = [this](const std::string& id) { on_reply_confirmed(id); };
   out.on_doubtful = [this](const std::string& id) { on_reply_doubtful(id); };
   out.on_retry_after = [this](const Endpoint& endpoint, Time retry_after) {
     on_surplus_retry_after(endpoint, retry_after);
--- a/relay/relay.h
+++ b/relay/relay.h
@@ -12,6 +12,7 @@
 #include <optional>
 #include <string>
 #include <unordered_map>
+#include <unordered_set>
 #include <vector>
 
 #include "admission/room.h"
@@ -87,6 +88,7 @@
   void execute(const Action& action);
   void end_message(uint64_t number, std::optional<Notice> notice);
   void end_provisionally(uint64_t number);
+  void on_reply_confirmed(const std::string& id);
   void on_reply_doubtful(const std::string& id);
   void on_surplus_retry_after(const Endpoint& endpoint, Time retry_after);
   Upstream::ReplyCallbacks reply_callbacks();
@@ -127,6 +129,7 @@
   bool clients_shut_down_ = false;         // client connections are being closed
   std::deque<Notice> unrecorded_notices_;  // not sent yet, as their journal records could not be written
   boost::asio::steady_timer notice_record_timer_;
+  std::unordered_set<std::string> noticed_at_once_;  // ended provisionally with a notice, no verdict yet
   std::deque<AwaitingSync<ClientServer::ReplyCallback>> unsynced_replies_;
   std::deque<AwaitingSync<Notice>> unsynced_notices_;
   bool sync_failed_ = false;          // and is retried after kDiskRetryDelay
--- a/tests/second_answers_test.cpp
+++ b/tests/second_answers_test.cpp
@@ -1,5 +1,7 @@
 // The daemon where bytes on a used connection pass for an answer: what it may send again, and what it still
 // owes.
+#include <sys/resource.h>
+
 #include <csignal>
 
 #include "concurrent_host.h"
@@ -103,6 +105,23 @@
   EXPECT_EQ(program_.wait(), 0);
 }
 
+TEST_F(SecondAnswer, BesideAFolderThatCannotBeWrittenCausesOneNotice) {
+  expect_call_on_used_connection("00000000000000b2", "safe");
+  rlimit limit{};
+  ASSERT_EQ(::prlimit(program_.pid(), RLIMIT_FSIZE, nullptr, &limit), 0);
+  rlimit no_writes = limit;
+  no_writes.rlim_cur = 0;
+  ASSERT_EQ(::prlimit(program_.pid(), RLIMIT_FSIZE, &no_writes, nullptr), 0);
+  host_.respond(0, "200");
+  host_.respond(0, "503");
+  EXPECT_TRUE(host_.connection(0).closed_by_peer());
+  ASSERT_EQ(::prlimit(program_.pid(), RLIMIT_FSIZE, &limit, nullptr), 0);
+  expect_notice_of_failure("00000000000000b2");
+  program_.signal(SIGTERM);
+  EXPECT_EQ(program_.wait(), 0);
+  EXPECT_TRUE(discovery_.take_notices().empty());
+}
+
 TEST_F(SecondAnswer, ThatSaysToWaitIsHeeded) {
   host_.respond(0, "429", "Retry-After: 1.5\r\n");
   EXPECT_TRUE(host_.connection(0).closed_by_peer());
