Nothing counts as durable while a finished message's done record is yet to be written

Change: the done record of such a message stands among those to be written again until it is appended.

--- a/state/journal.cpp
+++ b/state/journal.cpp
@@ -865,9 +865,12 @@
 void Journal::record_done(const std::string& id) {
   uint64_t sequence = 0;
   if (find_message(id, sequence) == nullptr) return;
+  // To write the done record may take a sync that makes room. What that sync covers is durable only if the
+  // done record is: without it the message is recovered, with none of its unconfirmed records.
+  if (unconfirmed_messages_.contains(sequence)) unconfirmed_done_.push_back(sequence);
   erase_message(sequence);
   unwritten_done_.push_back(sequence);
-  write_backlog();
+  if (write_backlog()) std::erase(unconfirmed_done_, sequence);
 }
 
 bool Journal::put_metadata(const std::string& name, const std::string& value) {
