A pushed-over breach tells whose calls they were and when the destination was out

Change: the breach names the calls by relay, and from when to when the destination was out. The number of reasons in UpstreamLog has a name.

--- a/rehearsal/checker.cpp
+++ b/rehearsal/checker.cpp
@@ -216,6 +216,16 @@
   bool reported = false;
   std::set<int> informed_relays;  // relays that saw a call or probe fail during it
   std::deque<std::pair<Time, int>> recent_calls;
+
+  std::string calls_by_relay() const {
+    std::map<int, int> counts;
+    for (const auto& [at, relay] : recent_calls) ++counts[relay];
+    std::string out;
+    for (const auto& [relay, count] : counts) {
+      out += format("%srelay %d: %d", out.empty() ? "" : ", ", relay, count);
+    }
+    return out;
+  }
 };
 
 Checker::Checker(RuleParameters parameters, Time start) : parameters_(std::move(parameters)), start_(start) {}
@@ -647,7 +657,10 @@
           "%zu calls and probes within %.1f s, %.1f s after its return, where %.1f were its budget; %zu of "
           "them from relays that had seen it fail",
           outage.recent_calls.size(), seconds(parameters_.overload_window), seconds(since_end), max_calls,
-          static_cast<size_t>(informed)));
+          static_cast<size_t>(informed)) +
+          " (" + outage.calls_by_relay() +
+          format("; it was out from +%.1f s to +%.1f s)", seconds(outage.started_at - start_),
+                 seconds(outage.ended_at - start_)));
 }
 
 // ---- Relays ----
--- a/relay/upstream_log.cpp
+++ b/relay/upstream_log.cpp
@@ -9,12 +9,12 @@
 
 constexpr Time kSecond = 1'000'000;
 
-constexpr std::array<std::string_view, 5> kConnectReasons = {"no idle one", "host under suspicion",
-                                                             "refusal has to be certain",
-                                                             "idle one had surplus bytes or ended", "probe"};
-constexpr std::array<std::string_view, 5> kDoubtReasons = {"surplus bytes of the host", "a later call failed",
-                                                           "the connection ended", "the message's time is up",
-                                                           "the relay ends"};
+constexpr std::array<std::string_view, kConnectReasonCount> kConnectReasons = {
+    "no idle one", "host under suspicion", "refusal has to be certain", "idle one had surplus bytes or ended",
+    "probe"};
+constexpr std::array<std::string_view, kDoubtReasonCount> kDoubtReasons = {
+    "surplus bytes of the host", "a later call failed", "the connection ended", "the message's time is up",
+    "the relay ends"};
 
 std::string with_reasons(std::span<const uint64_t> counts, std::span<const std::string_view> reasons) {
   std::string out = std::to_string(std::accumulate(counts.begin(), counts.end(), uint64_t{0}));
--- a/relay/upstream_log.h
+++ b/relay/upstream_log.h
@@ -18,20 +18,22 @@
   kSurplusOnIdleConnection,  // or the end of the idle connection, found as the request was to be written
   kProbe
 };
+constexpr size_t kConnectReasonCount = 5;
 
 // Why it is unknown whether a message was delivered.
 enum class DoubtReason { kSurplusBytes, kCallFailed, kConnectionEnded, kMessageTimeUp, kRelayEnds };
+constexpr size_t kDoubtReasonCount = 5;
 
 class UpstreamLog {
  public:
   struct Counters {
-    std::array<uint64_t, 5> new_connections{};  // by ConnectReason
-    uint64_t reused_connections = 0;            // times that an idle connection was used again
-    uint64_t surplus_replies = 0;               // times that bytes came that answer no request
+    std::array<uint64_t, kConnectReasonCount> new_connections{};  // by ConnectReason
+    uint64_t reused_connections = 0;  // times that an idle connection was used again
+    uint64_t surplus_replies = 0;     // times that bytes came that answer no request
     uint64_t calls_given_up = 0;      // by a reply on a used connection that did not deliver their message
     uint64_t unverified_replies = 0;  // that ended a message; confirmed or in doubt later
     uint64_t confirmed_replies = 0;
-    std::array<uint64_t, 5> doubtful_replies{};  // by DoubtReason
+    std::array<uint64_t, kDoubtReasonCount> doubtful_replies{};  // by DoubtReason
     bool operator==(const Counters&) const = default;
   };
   // Lines beyond this number in a second are left out and counted.
--- a/tests/rehearsal/checker_test.cpp
+++ b/tests/rehearsal/checker_test.cpp
@@ -549,9 +549,13 @@
   CheckerFixture f;
   f.checker.on_outage_started(f.now, 8);
   f.checker.on_probe(f.now, 0, 3, false);
+  f.advance(2 * kSecond);
   f.checker.on_outage_ended(f.now, 8, 10);
   for (int i = 0; i < 60; ++i) f.checker.on_probe(f.now, 0, 3, true);
   EXPECT_TRUE(f.only(Rule::kPushedOver));
+  const std::string& description = f.checker.violations().front().description;
+  EXPECT_NE(description.find("(relay 0: 21; it was out from +100.0 s to +102.0 s)"), std::string::npos)
+      << description;
 }
 
 TEST(Checker, OnceWarmItTakesAnything) {
