Closing an idle connection puts no proved reply in doubt

Need: since a proved reply falls in doubt as its connection ends, the relay's own closing of idle connections counts as a sign against their hosts, though nothing arrived for the whole idle time; where idle connections are kept for 5 s (closed after 4 s, confirmed after 6 s) each of them then ends with more needless notices. Change: the pool tells why it closes; replies that are not proved are in doubt as before.

--- a/relay/connection_pool.cpp
+++ b/relay/connection_pool.cpp
@@ -116,12 +116,12 @@
   if (it->second.empty()) by_host_.erase(it);
 }
 
-void ConnectionPool::close(ConnectionPtr connection) {
+void ConnectionPool::close(ConnectionPtr connection, CloseReason reason) {
   if (connection->idle) hooks_.on_quiet(*connection);
   remove(connection);
   Error ignored;
   connection->socket.close(ignored);
-  hooks_.on_closed(*connection);
+  hooks_.on_closed(*connection, reason);
 }
 
 void ConnectionPool::close_host(const Endpoint& endpoint) {
@@ -155,7 +155,11 @@
     hooks_.on_quiet(*connection);
     const bool idle_too_long = now - connection->idle_since >= max_idle_time_;
     const bool past_end = connection->close_at != 0 && now >= connection->close_at;
-    if (idle_too_long || past_end) close(connection);
+    if (past_end) {
+      close(connection);
+    } else if (idle_too_long) {
+      close(connection, CloseReason::kIdleTooLong);
+    }
   }
 }
 
--- a/relay/connection_pool.h
+++ b/relay/connection_pool.h
@@ -44,13 +44,16 @@
 // Does not block. Line breaks alone are dropped; other bytes are appended to `bytes`.
 Input read_input(HostConnection& connection, std::string& bytes);
 
+// kIdleTooLong: by the relay, after nothing arrived on it for the longest idle time.
+enum class CloseReason { kIdleTooLong, kOther };
+
 class ConnectionPool {
  public:
   using ConnectionPtr = std::shared_ptr<HostConnection>;
   struct Hooks {
     // Bytes arrived on an idle connection, which is closed after this call.
     std::function<void(const HostConnection&, const std::string& bytes)> on_surplus;
-    std::function<void(const HostConnection&)> on_closed;  // for whatever reason
+    std::function<void(const HostConnection&, CloseReason)> on_closed;
     // Called now and then for each idle connection on which nothing has arrived, and before it is taken or
     // closed.
     std::function<void(const HostConnection&)> on_quiet;
@@ -68,7 +71,7 @@
   // Keeps reading from a connection that must not be used again: until `close_at`, or the host's close.
   // `stop_sending` ends this side of it, which tells the host that the call is given up.
   void drain(ConnectionPtr connection, Time close_at, bool stop_sending);
-  void close(ConnectionPtr connection);
+  void close(ConnectionPtr connection, CloseReason reason = CloseReason::kOther);
 
   void close_host(const Endpoint& endpoint);  // its idle connections
   void close_oldest();
--- a/relay/unverified_replies.cpp
+++ b/relay/unverified_replies.cpp
@@ -98,8 +98,13 @@
 }
 
 std::vector<std::string> UnverifiedReplies::on_ended(ConnectionId connection) {
-  std::vector<std::string> doubtful;
+  std::vector<std::string> doubtful = on_idle_closed(connection);
   move_proved_ids([&](const ProvedReply& reply) { return reply.connection == connection; }, doubtful);
+  return doubtful;
+}
+
+std::vector<std::string> UnverifiedReplies::on_idle_closed(ConnectionId connection) {
+  std::vector<std::string> doubtful;
   const auto it = connections_.find(connection);
   if (it == connections_.end()) return doubtful;
   move_ids(it->second, doubtful);
--- a/relay/unverified_replies.h
+++ b/relay/unverified_replies.h
@@ -11,7 +11,8 @@
 // It is confirmed if its host sends no surplus bytes for a while longer, and its connection neither fails nor
 // ends: a host that copies replies may also drop calls, or hang. A reply is in doubt, and its message needs a
 // notice, if before that its host sends bytes that answer no request, a later call on the connection fails or
-// the connection ends, or if the message's time is up and the reply is not proved. No I/O.
+// the connection ends for another reason than being idle, or if the message's time is up and the reply is not
+// proved. No I/O.
 #pragma once
 
 #include <cstdint>
@@ -63,6 +64,8 @@
   // The connection ended, or a call on it ended without delivering its message: that may be the end of an
   // earlier call.
   std::vector<std::string> on_ended(ConnectionId connection);
+  // The relay closed the connection, as it was quiet for long: no sign against replies that are proved.
+  std::vector<std::string> on_idle_closed(ConnectionId connection);
   // All connections end; proved replies count as confirmed from now on.
   std::vector<std::string> on_all_ended();
   void forget_old_suspects(Time now);
--- a/relay/upstream.cpp
+++ b/relay/upstream.cpp
@@ -441,8 +441,10 @@
   hooks.on_surplus = [this](const HostConnection& connection, const std::string& bytes) {
     on_surplus(connection, bytes);
   };
-  hooks.on_closed = [this](const HostConnection& connection) {
-    report_doubtful(unverified_.on_ended(connection.id), DoubtReason::kConnectionEnded);
+  hooks.on_closed = [this](const HostConnection& connection, CloseReason reason) {
+    auto doubtful = reason == CloseReason::kIdleTooLong ? unverified_.on_idle_closed(connection.id)
+                                                        : unverified_.on_ended(connection.id);
+    report_doubtful(std::move(doubtful), DoubtReason::kConnectionEnded);
   };
   hooks.on_quiet = [this](const HostConnection& connection) {
     unverified_.on_quiet(connection.id, steady_now());
