--- a/tests/surplus_bytes_test.cpp
+++ b/tests/surplus_bytes_test.cpp
@@ -142,7 +142,7 @@
                        [&](const SeenCall& call) { return call.id == id && call.delivered; });
   }
   std::string id(char kind) const {
-    char out[17];
+    char out[32];
     std::snprintf(out, sizeof out, "%c%05d%010d", kind, number_, round_);
     return out;
   }
