An id that comes again after its message ended is answered, not sent again

Cause: the relay knew an id only while its message was open (numbers_by_id_), so that a second request under it was a new message. Change: FinishedMessages remembers ids for 60 s in bounded room: delivered ones are answered +OK, failed ones -ERR failed. Ids are dropped without a record and found again by the next start, which remembers them anew, so that no wall clock is involved. KeepsTheOldConfigurationWhereTheNewOneIsNotValid handed in one id three times, which the protocol does not allow: it now takes a new id each time, all else as strict.

--- a/relay/relay.cpp
+++ b/relay/relay.cpp
@@ -17,8 +17,11 @@
 const std::string kRevisionKey = "revision";             // of the newest list of which anything is saved
 const std::string kSavedRevisionKey = "revision_saved";  // of the newest list that is saved as a whole
 const std::string kDestinationsKey = "destinations";
+// Ids of unsafe messages that ended: a number that orders them, negative if the message failed.
+const std::string kFinishedPrefix = "finished ";
 
 const std::string kAcceptedReply = "+OK";
+const std::string kFailedReply = "-ERR failed";
 
 constexpr Time kMillisecond = 1000;
 constexpr Time kShutdownGracePeriod = 500 * kMillisecond;  // after SIGTERM new connections may still arrive
@@ -43,6 +46,9 @@
 constexpr size_t kReservedDescriptors = 24;
 constexpr size_t kMaxProbes = 8;
 
+// Part of the folder that the ids of unsafe messages that ended may take.
+constexpr size_t kFinishedDiskDivisor = 10;
+
 size_t max_calls(const Config& config) {
   const size_t half = (config.max_sockets - kReservedDescriptors) / 2;
   return std::min(half, static_cast<size_t>(config.settings.slots) + kMaxProbes);
@@ -106,8 +112,9 @@
       wake_timer_(io),
       stop_timer_(io),
       notice_record_timer_(io),
+      finished_({.max_saved_bytes = config.max_disk_bytes / kFinishedDiskDivisor}),
       sync_timer_(io),
-      notice_sender_(io, config.discovery, [this](const std::string& id) { journal_.record_done(id); }),
+      notice_sender_(io, config.discovery, [this](const std::string& id) { record_done(id); }),
       upstream_(
           io, upstream_limits(config), config.report_fields,
           [this](const Call& call) { return may_start(call); },
@@ -183,6 +190,7 @@
   if (saved_revision || !list.hosts.empty()) restore_host_list(list, saved_revision.value_or(list.revision));
   for (const DestinationState& state : states) post_event(state);
   restore_endpoint_states(metadata);
+  restore_finished(metadata);
 }
 
 // `saved_revision`: all changes up to it are in `list`. If records of the journal are lost, hosts may be
@@ -253,6 +261,10 @@
   const Time wall = wall_now();
   journal_.recover([&](umberhoist::state::RecoveredMessage recovered) {
     if (recovered.pending_notice) {
+      if (!recovered.pending_notice->returned) {
+        const OpenMessage ended{std::move(recovered.message), 0, recovered.attempts, true};
+        remember_finished(ended, FinishedAs::kFailed);
+      }
       notice_sender_.add(*recovered.pending_notice);
       return;
     }
@@ -314,6 +326,10 @@
     pending_submissions_.push_back({number->second, std::move(reply)});
     return;
   }
+  save_finished_later();
+  if (const auto finished = finished_.find(submission.id)) {
+    return reply(*finished == FinishedAs::kDelivered ? kAcceptedReply : kFailedReply);
+  }
   const int message_class = class_of(submission.message_class);
   if (message_class < 0) return reply("-ERR unknown class");
   const ClassSettings& settings = config_.settings.classes[message_class];
@@ -322,8 +338,10 @@
   if (!config_.settings.tenants.empty() && tenant_of(submission.tenant) < 0)
     return reply("-ERR unknown tenant");
   if (!directory_.is_known(submission.destination)) return reply("-ERR unknown destination");
-  if (open_messages_.size() >= static_cast<size_t>(config_.settings.max_open))
-    return reply(busy_reply(submission.body.size()));
+  const bool has_room = open_messages_.size() < static_cast<size_t>(config_.settings.max_open) &&
+                        (settings.effect != Effect::kUnsafe ||
+                         (unsaved_finished_.empty() && finished_.has_room_to_save(steady_now())));
+  if (!has_room) return reply(busy_reply(submission.body.size()));
   const uint64_t number = ++last_number_;
   Arrival arrival;
   arrival.id = number;
@@ -510,6 +528,8 @@
   policy_.step(steady_now(), events, actions);
   reply_to_pending(actions);
   for (const Action& action : actions) execute(action);
+  save_finished_later();
+  forget_finished(finished_.take_forgotten(steady_now()));
   journal_.compact(kCompactBytesPerStep);
   sync();
   set_wake_timer();
@@ -525,7 +545,7 @@
         const Time ms = (refuse->retry_after + kMillisecond - 1) / kMillisecond;
         rejections[refuse->id] = ms > 0 ? "-BUSY " + std::to_string(ms) : "-BUSY";
       } else if (const auto* fail = std::get_if<Fail>(&action)) {
-        rejections[fail->id] = "-ERR failed";
+        rejections[fail->id] = kFailedReply;
       }
     }
   }
@@ -661,11 +681,13 @@
 void Relay::end_message(uint64_t number, std::optional<Notice> notice) {
   const auto message = open_messages_.find(number);
   if (fleet_) fleet_->on_message_ended(number);
+  if (!notice || !notice->returned)
+    remember_finished(message->second, notice ? FinishedAs::kFailed : FinishedAs::kDelivered);
   if (notice) {
     unrecorded_notices_.push_back(std::move(*notice));
     record_notices();
   } else {
-    journal_.record_done(message->second.submission.id);
+    record_done(message->second.submission.id);
   }
   forget_message(number);
 }
@@ -682,7 +704,9 @@
 // If it cannot be recorded, it is sent as soon as it can. A notice for a message that was delivered after all
 // does no harm.
 void Relay::end_provisionally(uint64_t number) {
-  const Notice notice{open_messages_.at(number).submission.id, false, 0};
+  const OpenMessage& message = open_messages_.at(number);
+  const Notice notice{message.submission.id, false, 0};
+  remember_finished(message, FinishedAs::kDelivered);
   if (!journal_.record_notice(notice)) {
     noticed_at_once_.insert(notice.id);
     return end_message(number, notice);
@@ -692,7 +716,7 @@
 }
 
 void Relay::on_reply_confirmed(const std::string& id) {
-  if (noticed_at_once_.erase(id) == 0) journal_.record_done(id);
+  if (noticed_at_once_.erase(id) == 0) record_done(id);
 }
 
 void Relay::on_reply_doubtful(const std::string& id) {
@@ -726,6 +750,58 @@
          config_.settings.classes[static_cast<size_t>(message_class)].effect != Effect::kUnsafe;
 }
 
+// An unsafe message that may have been executed must not be sent again, even after a restart.
+void Relay::remember_finished(const OpenMessage& message, FinishedAs how) {
+  const std::string& id = message.submission.id;
+  if (!message.accepted || finished_.find(id)) return;
+  const bool unsafe = message.attempts > 0 && !may_repeat(message.submission);
+  finished_.add(id, how, unsafe, steady_now());
+  if (unsafe && !save_finished(id, how)) unsaved_finished_[id].how = how;
+}
+
+bool Relay::save_finished(const std::string& id, FinishedAs how) {
+  const auto number = static_cast<int64_t>(++last_finished_number_);
+  return journal_.put_metadata(kFinishedPrefix + id,
+                               std::to_string(how == FinishedAs::kDelivered ? number : -number));
+}
+
+// Tries again for those that the journal did not take. Until it does, no done record is written: after a
+// restart a message without one that may have been executed is not sent.
+void Relay::save_finished_later() {
+  for (auto next = unsaved_finished_.begin(); next != unsaved_finished_.end();) {
+    const auto& [id, unsaved] = *next;
+    if (!save_finished(id, unsaved.how)) return;
+    if (unsaved.done) journal_.record_done(id);
+    next = unsaved_finished_.erase(next);
+  }
+}
+
+void Relay::record_done(const std::string& id) {
+  const auto unsaved = unsaved_finished_.find(id);
+  if (unsaved == unsaved_finished_.end()) return journal_.record_done(id);
+  unsaved->second.done = true;
+}
+
+void Relay::forget_finished(const std::vector<std::string>& ids) {
+  for (const std::string& id : ids) journal_.drop_metadata(kFinishedPrefix + id);
+}
+
+// The times at which they ended are not known: each is remembered for the whole time once more.
+void Relay::restore_finished(const std::map<std::string, std::string>& metadata) {
+  std::map<int64_t, std::pair<std::string, FinishedAs>> in_order;
+  for (const auto& [name, value] : metadata) {
+    if (!name.starts_with(kFinishedPrefix)) continue;
+    const int64_t number = nlohmann::json::parse(value).get<int64_t>();
+    const FinishedAs how = number > 0 ? FinishedAs::kDelivered : FinishedAs::kFailed;
+    in_order[std::abs(number)] = {name.substr(kFinishedPrefix.size()), how};
+  }
+  for (const auto& [number, finished] : in_order) {
+    finished_.add(finished.first, finished.second, true, steady_now());
+    last_finished_number_ = static_cast<uint64_t>(number);
+  }
+  forget_finished(finished_.take_excess());
+}
+
 void Relay::send_notices() {
   while (!unsynced_notices_.empty() && journal_.is_durable(unsynced_notices_.front().position)) {
     notice_sender_.add(std::move(unsynced_notices_.front().value));
--- a/state/journal.cpp
+++ b/state/journal.cpp
@@ -897,4 +897,9 @@
   return false;
 }
 
+void Journal::drop_metadata(const std::string& name) {
+  unwritten_metadata_.erase(name);
+  unindex_metadata(name);
+}
+
 }  // namespace umberhoist::state
--- a/state/journal.h
+++ b/state/journal.h
@@ -85,6 +85,8 @@
   // Stores a value beside the messages; the last value of a name counts, an empty value removes the name.
   // Returns false if it was not written: metadata may take at most kMaxMetadataFraction of the disk.
   bool put_metadata(const std::string& name, const std::string& value);
+  // Drops a name without a record of it: the next start may find its last value again.
+  void drop_metadata(const std::string& name);
 
   // With Durability::kGroupCommit, records up to written_position() survive a power loss once is_durable() is
   // true for that position. A sync has three steps: begin_sync(), execute_sync() (each file, then the folder;
--- a/tests/program_test.cpp
+++ b/tests/program_test.cpp
@@ -732,11 +732,13 @@
   s.program.start();
   s.config["discovery"] = "nowhere";
   const std::string unreadable = s.config.dump();
+  int number = 0;
   for (const std::string& text : {std::string("{"), std::string(), unreadable}) {
+    const std::string id = "00000000000000a" + std::to_string(++number);
     s.program.write_config(text);
     s.program.signal(SIGHUP);
-    EXPECT_EQ(s.put("00000000000000a1", attributes_of("safe")), "+OK");
-    EXPECT_EQ(id_of(s.host.next_request()), "00000000000000a1");
+    EXPECT_EQ(s.put(id, attributes_of("safe")), "+OK");
+    EXPECT_EQ(id_of(s.host.next_request()), id);
     s.host.respond("200");
     s.host.close();
   }
