What a client left unread as it closed its connection is not acted on

Cause: the client's end was looked for only behind the last byte read and only after 400 ms of waiting; between requests that were read at once it was not looked for at all. Change: before each request the connection is asked whether the client has ended it (POLLRDHUP, seen ahead of unread input). After a reset nothing more is acted on; after an end the next request waits until the last reply is acknowledged, which a client that closed answers with a reset. A client that only ended its sending side is served as before.

--- a/relay/clients.cpp
+++ b/relay/clients.cpp
@@ -1,6 +1,9 @@
 #include "clients.h"
 
+#include <linux/sockios.h>
 #include <netinet/tcp.h>
+#include <poll.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 
 #include <algorithm>
@@ -26,6 +29,7 @@
 constexpr Time kMinCommandTimeout = 3 * kSecond / 10;
 constexpr Time kClientTimeout = 2 * kSecond / 5;  // after which a client abandons its request
 constexpr Time kWriteTimeout = 2 * kSecond;       // of a reply that the client does not read
+constexpr auto kAcknowledgementPollInterval = std::chrono::milliseconds(5);
 // A lingering close ends when the client has closed its side, has sent nothing for a while, or has sent too
 // much.
 constexpr Time kLingerIdleTimeout = kSecond;
@@ -115,6 +119,11 @@
   std::list<std::shared_ptr<Session>>::iterator position;
 
   void process_next() {
+    if (!parser_.empty()) {
+      const ClientPresence presence = client_presence();
+      if (presence == ClientPresence::kGone) return close();
+      if (presence == ClientPresence::kUnknown) return wait_for_acknowledgement();
+    }
     std::optional<std::vector<std::string>> words;
     try {
       words = parser_.next();
@@ -225,9 +234,7 @@
     const size_t count = socket_.read_some(boost::asio::buffer(owner_->read_buffer_), failed);
     if (failed == boost::asio::error::would_block) return process_next();
     if (count == 0) return close();
-    const Time waiting = time_since_last_byte();
-    if (waiting >= kClientTimeout && client_closed()) return close();
-    last_byte_at_ = steady_now() - waiting;
+    last_byte_at_ = steady_now() - time_since_last_byte();
     parser_.feed({owner_->read_buffer_.data(), count});
     process_next();
   }
@@ -241,11 +248,28 @@
     return Time{1000} * info.tcpi_last_data_recv;
   }
 
-  // The client has closed its side after the request: it has given up and submitted the message elsewhere
-  // under a new id.
-  bool client_closed() {
-    char byte = 0;
-    return ::recv(socket_.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT) == 0;
+  enum class ClientPresence { kThere, kUnknown, kGone };
+
+  // A client that closed its connection has given up and hands its messages in elsewhere, under new ids: what
+  // it left unread here must not be acted on. Its end is seen ahead of that input. A client that only ended
+  // its sending side is told from it by the last reply, which the other answers with a reset.
+  ClientPresence client_presence() {
+    pollfd descriptor{socket_.native_handle(), POLLRDHUP, 0};
+    if (::poll(&descriptor, 1, 0) <= 0) return ClientPresence::kThere;
+    if ((descriptor.revents & (POLLERR | POLLHUP)) != 0) return ClientPresence::kGone;
+    if ((descriptor.revents & POLLRDHUP) == 0) return ClientPresence::kThere;
+    if (steady_now() - last_byte_at_ >= kClientTimeout) return ClientPresence::kGone;
+    int unacknowledged = 0;
+    const bool known = ::ioctl(socket_.native_handle(), SIOCOUTQ, &unacknowledged) == 0;
+    return known && unacknowledged > 0 ? ClientPresence::kUnknown : ClientPresence::kThere;
+  }
+
+  void wait_for_acknowledgement() {
+    state_ = State::kWriting;
+    const auto timer = std::make_shared<boost::asio::steady_timer>(owner_->io_, kAcknowledgementPollInterval);
+    timer->async_wait([self = shared_from_this(), timer](auto) {
+      if (self->owner_ != nullptr && self->state_ == State::kWriting) self->process_next();
+    });
   }
 
   void handle_command(const std::vector<std::string>& words) {
--- a/tests/clients_test.cpp
+++ b/tests/clients_test.cpp
@@ -226,5 +226,30 @@
   run_until_all_closed();
 }
 
+// Guards against messages that are sent on though their client has left and hands them in elsewhere.
+TEST_F(ClientsTest, RequestsThatAClientLeftUnreadAreNotActedOn) {
+  for (const bool with_reset : {false, true}) {
+    submitted_.clear();
+    std::string requests;
+    for (int i = 0; i < 100; ++i) requests += put_request("left" + std::to_string(i));
+    Socket client = connect();
+    ASSERT_TRUE(client.send(requests));
+    with_reset ? client.reset() : client.close();
+    io_.run_for(std::chrono::milliseconds(200));
+    EXPECT_LE(submitted_.size(), 1u) << (with_reset ? "reset" : "closed");
+  }
+}
+
+// Its requests are answered though it sends nothing more: it still reads.
+TEST_F(ClientsTest, RequestsOfAClientThatEndsItsSendingSideAreAnswered) {
+  Socket client = connect();
+  std::string requests;
+  for (int i = 0; i < 20; ++i) requests += put_request("half" + std::to_string(i));
+  ASSERT_TRUE(client.send(requests));
+  client.half_close();
+  for (int i = 0; i < 20; ++i) EXPECT_EQ(next_line(client), "+OK") << i;
+  EXPECT_EQ(submitted_.size(), 20u);
+}
+
 }  // namespace
 }  // namespace firspool::relay
