Clients that stop within a request give way when the table of connections is full

Cause: a begun request was no candidate for eviction before its 2 s were over, so that a table full of them took nobody; with none to evict the next look came up to 100 ms later. Change: at the limit, after connections that were idle for long, an unfinished request that is older than 100 ms and of which nothing waits to be read is answered -BUSY and its connection closed with a linger; only then connections that have been idle shortly. Without a candidate the listener looks again after 20 ms.

--- a/relay/clients.cpp
+++ b/relay/clients.cpp
@@ -42,6 +42,10 @@
 constexpr Time kMinIdleToEvict = 2 * kSecond;          // since the last reply
 constexpr Time kMinIdleToEvictForced = kSecond / 20;   // where no connection has been idle for that long
 constexpr Time kMinSilenceToEvict = 3 * kSecond / 10;  // since connecting, without a command
+// The same for a connection with an unfinished request, since that request's first byte.
+constexpr Time kMinRequestTimeToEvict = kSecond / 10;
+constexpr auto kFullRetryInterval = std::chrono::milliseconds(20);  // until the next look for room
+const std::string kUnfinishedReply = "-BUSY 200";                   // to a client whose request is given up
 // Clients may hold a third of the descriptors for requests, which is two thirds of the connections here. Idle
 // connections are limited to a quarter of the connections, so that they never delay the next one.
 constexpr size_t kIdleDivisor = 4;
@@ -103,6 +107,13 @@
   return out;
 }
 
+// In the order in which they are evicted at the limit of connections.
+enum class EvictionKind {
+  kIdle,               // between requests, or without a first one, for long
+  kUnfinishedRequest,  // a request takes longer than one that is written at once
+  kShortlyIdle,
+};
+
 // The connection of one client. A request is read and answered before the next one is parsed. States and
 // transitions:
 //   kReading        between requests or within one; -> kAwaitingReply by a command, -> kWriting by an error
@@ -186,12 +197,24 @@
     }
   }
 
-  // For how long the connection has been a candidate for eviction; negative: it is none. Never with a request
-  // open or begun. `forced`: no connection has been idle for the usual time.
-  Time eviction_age(Time now, bool forced) const {
-    const Time age = now - state_since_;
-    if (state_ != State::kReading || command_started_at_ != 0) return -1;
-    return age - (!sent_command_ ? kMinSilenceToEvict : forced ? kMinIdleToEvictForced : kMinIdleToEvict);
+  // For how long the connection has been a candidate for eviction of this kind; negative: it is none. Never
+  // with a request that was read whole.
+  Time eviction_age(Time now, EvictionKind kind) const {
+    if (state_ != State::kReading) return -1;
+    const bool unfinished = command_started_at_ != 0;
+    if (unfinished != (kind == EvictionKind::kUnfinishedRequest)) return -1;
+    if (unfinished) return now - command_started_at_ - kMinRequestTimeToEvict;
+    const Time min_idle = kind == EvictionKind::kIdle ? kMinIdleToEvict : kMinIdleToEvictForced;
+    return now - state_since_ - (sent_command_ ? min_idle : kMinSilenceToEvict);
+  }
+
+  // An unfinished request was not acted on, and its client is told so.
+  void evict() {
+    if (command_started_at_ != 0) {
+      const std::string line = kUnfinishedReply + "\r\n";
+      ::send(socket_.native_handle(), line.data(), line.size(), MSG_DONTWAIT | MSG_NOSIGNAL);
+    }
+    start_lingering();
   }
 
   bool has_no_unread_input() const {
@@ -366,23 +389,27 @@
 }
 
 void ClientServer::accept() {
-  if (shutting_down_ || accepting_ || (sessions_.size() >= max_active_ && !evict_idle_session())) return;
+  if (shutting_down_ || accepting_) return;
+  if (sessions_.size() >= max_active_ && !evict_session()) return accept_after(kFullRetryInterval);
   accepting_ = true;
   acceptor_.async_accept([this](const boost::system::error_code& error, tcp::socket socket) {
     if (error == boost::asio::error::operation_aborted) return;
     accepting_ = false;
     if (error) {  // out of descriptors, or the client has closed already: retrying at once would spin
-      accept_backoff_.expires_after(kAcceptBackoff);
-      accept_backoff_.async_wait([this](const boost::system::error_code& stopped) {
-        if (!stopped) accept();
-      });
-      return;
+      return accept_after(kAcceptBackoff);
     }
     start_session(std::move(socket));
     accept();
   });
 }
 
+void ClientServer::accept_after(std::chrono::milliseconds delay) {
+  accept_backoff_.expires_after(delay);
+  accept_backoff_.async_wait([this](const boost::system::error_code& error) {
+    if (!error) accept();
+  });
+}
+
 void ClientServer::start_session(tcp::socket socket) {
   boost::system::error_code ignored;
   socket.set_option(tcp::no_delay(true), ignored);
@@ -393,24 +420,26 @@
   session->process_next();
 }
 
-// At the limit, closes the connection that has been idle for longest. Clients keep connections open
-// indefinitely, and some connect and send nothing: they would lock out clients with messages to submit.
-bool ClientServer::evict_idle_session() {
+// At the limit, closes the connection that can best be spared. Clients keep connections open indefinitely,
+// some connect and send nothing or stop within a request: they would lock out clients with messages to
+// submit.
+bool ClientServer::evict_session() {
   const Time now = steady_now();
   std::shared_ptr<Session> best;
-  for (const bool forced : {false, true}) {
+  for (const EvictionKind kind :
+       {EvictionKind::kIdle, EvictionKind::kUnfinishedRequest, EvictionKind::kShortlyIdle}) {
     Time longest = -1;
     for (const auto& session : sessions_) {
-      const Time eviction_age = session->eviction_age(now, forced);
+      const Time eviction_age = session->eviction_age(now, kind);
       if (eviction_age <= longest || !session->has_no_unread_input()) continue;
       longest = eviction_age;
       best = session;
     }
     if (best) break;
   }
-  if (!best) return false;  // the next sweep tries again
-  accepting_ = true;        // suppresses the accept that on_lingering starts: the caller starts it
-  best->start_lingering();
+  if (!best) return false;
+  accepting_ = true;  // suppresses the accept that on_lingering starts: the caller starts it
+  best->evict();
   accepting_ = false;
   return true;
 }
--- a/relay/clients.h
+++ b/relay/clients.h
@@ -42,7 +42,8 @@
 
   void accept();
   void start_session(tcp::socket socket);
-  bool evict_idle_session();
+  void accept_after(std::chrono::milliseconds delay);
+  bool evict_session();
   void sweep();
   Time max_idle_time() const;
   void on_lingering(std::list<std::shared_ptr<Session>>::iterator position);
--- a/tests/clients_test.cpp
+++ b/tests/clients_test.cpp
@@ -251,5 +251,22 @@
   EXPECT_EQ(submitted_.size(), 20u);
 }
 
+// Guards against a table full of clients that stopped within a request, which kept all others out for 2 s.
+TEST_F(ClientsTest, ClientsThatStopHalfWayKeepNobodyElseOut) {
+  const std::string request = put_request("half");
+  std::vector<Socket> stopped;
+  for (int i = 0; i < 100; ++i) {
+    stopped.push_back(connect());
+    ASSERT_TRUE(stopped.back().send(request.substr(0, request.size() / 2)));
+    io_.poll();
+  }
+  const Time from = steady_now();
+  Socket client = connect();
+  ASSERT_TRUE(client.send(put_request("a1")));
+  EXPECT_EQ(next_line(client), "+OK");
+  EXPECT_LT(steady_now() - from, 400'000);
+  EXPECT_EQ(next_line(stopped.front()), "-BUSY 200");
+}
+
 }  // namespace
 }  // namespace firspool::relay
