All that a relay holds stays under limits.memory_mb, whoever sends what

Cause: limits.memory_mb was never read, and nothing added up what is held. Input, replies, bodies (twice while a call was out), answers of hosts and their fields were bounded by the table of connections and the size of the folder alone; the kernel's buffers grew to megabytes a connection; the folder's files count as memory too. Where it is short reading stops, then submissions are refused, then the largest unfinished request that stalls is answered -BUSY and closed; what was accepted is always added. Bodies are shared by message and calls, bodies of replies are dropped as they are read and three fields kept, socket buffers are bounded, the folder takes a third of the memory at most. What the allocator measures counts if it is more. At a full table a reply that is unread for 200 ms gives way, too. The log says when memory is short, for whom, and who holds most.

--- a/relay/clients.cpp
+++ b/relay/clients.cpp
@@ -19,6 +19,9 @@
 namespace firspool::relay {
 namespace {
 
+using umberhoist::resources::MemoryShare;
+using umberhoist::resources::MemoryUse;
+
 constexpr auto kAcceptBackoff = std::chrono::milliseconds(50);
 constexpr auto kSweepInterval = std::chrono::milliseconds(100);
 constexpr Time kSecond = 1'000'000;
@@ -44,8 +47,14 @@
 constexpr Time kMinSilenceToEvict = 3 * kSecond / 10;  // since connecting, without a command
 // The same for a connection with an unfinished request, since that request's first byte.
 constexpr Time kMinRequestTimeToEvict = kSecond / 10;
+constexpr Time kMinUnreadTimeToEvict = kSecond / 5;  // of a reply that its client does not read
+constexpr auto kPausedRetryInterval = std::chrono::milliseconds(10);  // until the next look for memory
+// Replies longer than this need memory from the pool.
+constexpr size_t kMaxUnpooledReply = 256;
+// Heap of one connection without its input and replies: the session, its socket and pending operations.
+constexpr size_t kSessionBytes = 1536;
 constexpr auto kFullRetryInterval = std::chrono::milliseconds(20);  // until the next look for room
-const std::string kUnfinishedReply = "-BUSY 200";                   // to a client whose request is given up
+const std::string kUnfinishedReply = "-BUSY 200";                   // where a request is given up
 // Clients may hold a third of the descriptors for requests, which is two thirds of the connections here. Idle
 // connections are limited to a quarter of the connections, so that they never delay the next one.
 constexpr size_t kIdleDivisor = 4;
@@ -111,6 +120,7 @@
 enum class EvictionKind {
   kIdle,               // between requests, or without a first one, for long
   kUnfinishedRequest,  // a request takes longer than one that is written at once
+  kUnreadReply,        // a reply takes longer than one that is read at once
   kShortlyIdle,
 };
 
@@ -125,7 +135,14 @@
 class ClientServer::Session : public std::enable_shared_from_this<Session> {
  public:
   Session(ClientServer& owner, tcp::socket socket)
-      : owner_(&owner), socket_(std::move(socket)), state_since_(steady_now()) {}
+      : owner_(&owner),
+        socket_(std::move(socket)),
+        fixed_memory_(owner.memory_, MemoryUse::kClientConnections),
+        input_memory_(owner.memory_, MemoryUse::kClientInput),
+        reply_memory_(owner.memory_, MemoryUse::kClientReplies),
+        state_since_(steady_now()) {
+    fixed_memory_.set(kSessionBytes);
+  }
 
   std::list<std::shared_ptr<Session>>::iterator position;
 
@@ -141,6 +158,7 @@
     } catch (const RespError& error) {
       return reply_and_close("-ERR protocol error: " + std::string(error.what()));
     }
+    input_memory_.set(parser_.capacity());
     if (words) {
       command_started_at_ = 0;
       return handle_command(*words);
@@ -167,8 +185,10 @@
     socket_.cancel(ignored);
   }
 
+  // The memory account may be gone before the last operation on the connection is.
   void detach() {
     owner_ = nullptr;
+    release_memory();
     boost::system::error_code ignored;
     socket_.close(ignored);
   }
@@ -200,6 +220,8 @@
   // For how long the connection has been a candidate for eviction of this kind; negative: it is none. Never
   // with a request that was read whole.
   Time eviction_age(Time now, EvictionKind kind) const {
+    if (kind == EvictionKind::kUnreadReply)
+      return state_ == State::kWriting ? now - state_since_ - kMinUnreadTimeToEvict : -1;
     if (state_ != State::kReading) return -1;
     const bool unfinished = command_started_at_ != 0;
     if (unfinished != (kind == EvictionKind::kUnfinishedRequest)) return -1;
@@ -208,8 +230,14 @@
     return now - state_since_ - (sent_command_ ? min_idle : kMinSilenceToEvict);
   }
 
+  // With unread input there may be a request in it, unless there is no memory to read it.
+  bool may_be_evicted(EvictionKind kind) const {
+    return kind == EvictionKind::kUnreadReply || waits_for_memory_ || has_no_unread_input();
+  }
+
   // An unfinished request was not acted on, and its client is told so.
   void evict() {
+    if (state_ == State::kWriting) return close();
     if (command_started_at_ != 0) {
       const std::string line = kUnfinishedReply + "\r\n";
       ::send(socket_.native_handle(), line.data(), line.size(), MSG_DONTWAIT | MSG_NOSIGNAL);
@@ -217,6 +245,16 @@
     start_lingering();
   }
 
+  // Tries again to read after pause_reading().
+  void resume_reading() { on_readable({}); }
+
+  // Memory of an unfinished request that is older than one that is written at once; 0: none.
+  size_t stalled_input(Time now) const {
+    const bool stalled = state_ == State::kReading && command_started_at_ != 0 &&
+                         now - command_started_at_ >= kMinRequestTimeToEvict;
+    return stalled ? input_memory_.bytes() : 0;
+  }
+
   bool has_no_unread_input() const {
     boost::system::error_code error;
     return socket_.available(error) == 0 || error;
@@ -230,6 +268,7 @@
     state_ = State::kLingering;
     state_since_ = last_byte_at_ = steady_now();
     parser_ = RespParser();
+    input_memory_.set(0);
     command_started_at_ = 0;
     boost::system::error_code ignored;
     socket_.cancel(ignored);
@@ -242,6 +281,7 @@
     boost::system::error_code ignored;
     socket_.close(ignored);
     const State before = std::exchange(state_, State::kClosed);
+    release_memory();
     if (owner_ == nullptr) return;
     std::exchange(owner_, nullptr)->remove_session(position, before == State::kLingering);
   }
@@ -253,15 +293,31 @@
     if (owner_ == nullptr || state_ != State::kReading) return;
     if (error == boost::asio::error::operation_aborted && has_no_unread_input()) return start_lingering();
     if (error && error != boost::asio::error::operation_aborted) return close();
+    const size_t allowed = input_allowance();
+    waits_for_memory_ = allowed == 0;
+    if (waits_for_memory_) return owner_->pause_reading(shared_from_this());
     boost::system::error_code failed;
-    const size_t count = socket_.read_some(boost::asio::buffer(owner_->read_buffer_), failed);
+    const size_t count = socket_.read_some(boost::asio::buffer(owner_->read_buffer_, allowed), failed);
     if (failed == boost::asio::error::would_block) return process_next();
     if (count == 0) return close();
     last_byte_at_ = steady_now() - time_since_last_byte();
-    parser_.feed({owner_->read_buffer_.data(), count});
+    parser_.feed({owner_->read_buffer_.data(), count}, input_memory_.bytes());
+    input_memory_.set(parser_.capacity());
     process_next();
   }
 
+  // How many bytes may be read now; 0: none, as there is no memory for them. A request that is as long as it
+  // says gets the memory for all of it at once.
+  size_t input_allowance() {
+    boost::system::error_code ignored;
+    const size_t available = std::min(socket_.available(ignored), owner_->read_buffer_.size());
+    if (available == 0) return 1;  // finds out that nothing came, or that the client has ended
+    const size_t wanted = std::max(parser_.size() + available, parser_.expected_size());
+    if (wanted <= owner_->limits_.unpooled_input) return owner_->limits_.unpooled_input - parser_.size();
+    if (input_memory_.try_grow_to(wanted)) return std::max<size_t>(1, available);
+    return owner_->limits_.unpooled_input - std::min(owner_->limits_.unpooled_input, parser_.size());
+  }
+
   // Time since the kernel received the newest byte. A message's lifetime runs from then, also while this
   // process was busy or the connection waited to be accepted.
   Time time_since_last_byte() {
@@ -271,6 +327,10 @@
     return Time{1000} * info.tcpi_last_data_recv;
   }
 
+  void release_memory() {
+    for (MemoryShare* share : {&fixed_memory_, &input_memory_, &reply_memory_}) share->set(0);
+  }
+
   enum class ClientPresence { kThere, kUnknown, kGone };
 
   // A client that closed its connection has given up and hands its messages in elsewhere, under new ids: what
@@ -301,7 +361,12 @@
     const std::string command = to_upper(words[0]);
     if (command == "PING" && words.size() <= 2) {
       if (words.size() == 1) return reply("+PONG");
-      return reply("$" + std::to_string(words[1].size()) + "\r\n" + words[1]);
+      const size_t bytes = words[1].size();
+      if (bytes > kMaxUnpooledReply && !reply_memory_.try_grow_to(bytes + kMaxUnpooledReply))
+        return reply(kUnfinishedReply);
+      std::string line;
+      line.reserve(bytes + kMaxUnpooledReply);
+      return reply(std::move(line.append("$" + std::to_string(bytes) + "\r\n").append(words[1])));
     }
     if (command != "MSG.PUT") return reply("-ERR unknown command");
     if (owner_ == nullptr) return;
@@ -318,6 +383,7 @@
   void reply(std::string line) {
     if (state_ == State::kClosed) return;
     write_buffer_ = std::move(line) + "\r\n";
+    reply_memory_.set(write_buffer_.capacity());
     state_ = State::kWriting;
     state_since_ = steady_now();
     boost::asio::async_write(socket_, boost::asio::buffer(write_buffer_),
@@ -325,6 +391,7 @@
                                if (self->owner_ == nullptr) return;
                                if (error) return self->close();
                                std::string().swap(self->write_buffer_);
+                               self->reply_memory_.set(0);
                                self->state_since_ = steady_now();
                                self->close_after_reply_ ? self->start_lingering() : self->process_next();
                              });
@@ -357,26 +424,37 @@
   tcp::socket socket_;
   RespParser parser_;
   std::string write_buffer_;
+  MemoryShare fixed_memory_, input_memory_, reply_memory_;
   State state_ = State::kReading;
   Time state_since_;  // of connecting, the last reply, or the start of the current write or lingering close
   Time last_byte_at_ = 0;        // when the newest byte arrived
   Time command_started_at_ = 0;  // when the first byte of the current command was read; 0: none
   size_t lingered_bytes_ = 0;
   bool sent_command_ = false;
+  bool waits_for_memory_ = false;  // to read on
   bool close_after_reply_ = false;
 };
 
-ClientServer::ClientServer(boost::asio::io_context& io, const tcp::endpoint& listen, size_t max_connections,
-                           SubmitCallback submit)
+ClientServer::ClientServer(boost::asio::io_context& io, const tcp::endpoint& listen, const Limits& limits,
+                           umberhoist::resources::MemoryAccount& memory, SubmitCallback submit)
     : io_(io),
       acceptor_(io),
       accept_backoff_(io),
       sweep_timer_(io),
-      max_lingering_(std::max<size_t>(1, max_connections / kLingeringDivisor)),
-      max_active_(max_connections - max_lingering_),
+      resume_timer_(io),
+      limits_(limits),
+      memory_(memory),
+      max_lingering_(std::max<size_t>(1, limits.max_connections / kLingeringDivisor)),
+      max_active_(limits.max_connections - max_lingering_),
       submit_(std::move(submit)) {
   acceptor_.open(listen.protocol());
   acceptor_.set_option(tcp::acceptor::reuse_address(true));
+  if (limits_.socket_buffer > 0) {  // before listening, so that accepted connections have them from the start
+    const int bytes = static_cast<int>(limits_.socket_buffer);
+    boost::system::error_code ignored;
+    acceptor_.set_option(tcp::acceptor::receive_buffer_size(bytes), ignored);
+    acceptor_.set_option(tcp::acceptor::send_buffer_size(bytes), ignored);
+  }
   acceptor_.bind(listen);
   acceptor_.listen();
   accept();
@@ -384,6 +462,7 @@
 }
 
 ClientServer::~ClientServer() {
+  paused_.clear();
   for (const auto& session : sessions_) session->detach();
   for (const auto& session : lingering_) session->detach();
 }
@@ -426,12 +505,12 @@
 bool ClientServer::evict_session() {
   const Time now = steady_now();
   std::shared_ptr<Session> best;
-  for (const EvictionKind kind :
-       {EvictionKind::kIdle, EvictionKind::kUnfinishedRequest, EvictionKind::kShortlyIdle}) {
+  for (const EvictionKind kind : {EvictionKind::kIdle, EvictionKind::kUnfinishedRequest,
+                                  EvictionKind::kUnreadReply, EvictionKind::kShortlyIdle}) {
     Time longest = -1;
     for (const auto& session : sessions_) {
       const Time eviction_age = session->eviction_age(now, kind);
-      if (eviction_age <= longest || !session->has_no_unread_input()) continue;
+      if (eviction_age <= longest || !session->may_be_evicted(kind)) continue;
       longest = eviction_age;
       best = session;
     }
@@ -444,6 +523,31 @@
   return true;
 }
 
+// Stops reading from a connection until there is memory for its input: TCP then holds its client up.
+void ClientServer::pause_reading(std::shared_ptr<Session> session) {
+  paused_.push_back(std::move(session));
+  if (paused_.size() > 1) return;
+  resume_timer_.expires_after(kPausedRetryInterval);
+  resume_timer_.async_wait([this](const boost::system::error_code& error) {
+    if (!error) resume_reading();
+  });
+}
+
+void ClientServer::resume_reading() {
+  evict_greediest();
+  for (const auto& session : std::exchange(paused_, {})) session->resume_reading();
+}
+
+// Frees the largest part of the input's memory that waits for the rest of its request.
+void ClientServer::evict_greediest() {
+  const Time now = steady_now();
+  std::shared_ptr<Session> greediest;
+  for (const auto& session : sessions_) {
+    if (session->stalled_input(now) > (greediest ? greediest->stalled_input(now) : 0)) greediest = session;
+  }
+  if (greediest) greediest->evict();
+}
+
 // Lingering connections do not count against the active ones, and their number is bounded.
 void ClientServer::on_lingering(std::list<std::shared_ptr<Session>>::iterator position) {
   lingering_.splice(lingering_.end(), sessions_, position);
--- a/relay/clients.h
+++ b/relay/clients.h
@@ -7,9 +7,11 @@
 #include <functional>
 #include <list>
 #include <memory>
+#include <vector>
 
 #include "directory.h"
 #include "message.h"
+#include "resources/memory_account.h"
 
 namespace firspool::relay {
 
@@ -19,14 +21,19 @@
 
 class ClientServer {
  public:
+  struct Limits {
+    size_t max_connections = 256;  // of which an eighth is for those in a lingering close
+    // Input that is held for one connection beside the pool of all.
+    size_t unpooled_input = 4096;
+    size_t socket_buffer = 0;  // of each connection and direction, in the kernel; 0: as the system has it
+  };
   // Called exactly once, with a RESP reply without the final line break.
   using ReplyCallback = std::function<void(std::string line)>;
   using SubmitCallback = std::function<void(Submission submission, ReplyCallback reply)>;
 
-  // Starts to listen at once and holds at most `max_connections` connections, of which an eighth is for those
-  // in a lingering close. Throws boost::system::system_error.
-  ClientServer(boost::asio::io_context& io, const tcp::endpoint& listen, size_t max_connections,
-               SubmitCallback submit);
+  // Starts to listen at once. Throws boost::system::system_error. `memory` counts what is held for clients.
+  ClientServer(boost::asio::io_context& io, const tcp::endpoint& listen, const Limits& limits,
+               umberhoist::resources::MemoryAccount& memory, SubmitCallback submit);
   ~ClientServer();
 
   tcp::endpoint address() const { return acceptor_.local_endpoint(); }
@@ -44,6 +51,9 @@
   void start_session(tcp::socket socket);
   void accept_after(std::chrono::milliseconds delay);
   bool evict_session();
+  void pause_reading(std::shared_ptr<Session> session);
+  void resume_reading();
+  void evict_greediest();
   void sweep();
   Time max_idle_time() const;
   void on_lingering(std::list<std::shared_ptr<Session>>::iterator position);
@@ -53,6 +63,10 @@
   tcp::acceptor acceptor_;
   boost::asio::steady_timer accept_backoff_;
   boost::asio::steady_timer sweep_timer_;
+  boost::asio::steady_timer resume_timer_;
+  Limits limits_;
+  umberhoist::resources::MemoryAccount& memory_;
+  std::vector<std::shared_ptr<Session>> paused_;  // wait for memory before they read on
   size_t max_lingering_;
   size_t max_active_;  // without the lingering ones
   SubmitCallback submit_;
--- a/relay/config.cpp
+++ b/relay/config.cpp
@@ -11,6 +11,8 @@
 
 using nlohmann::json;
 
+constexpr double kDefaultMemoryMb = 192;  // the least that the platform gives
+
 // Keys that are not shared by the relays of a fleet.
 const char* const kOwnKeys[] = {"name", "listen", "discovery", "seed", "known", "fleet"};
 
@@ -65,6 +67,10 @@
   if (!(disk_mb > 0 && disk_mb < 1e6))
     throw std::invalid_argument("limits.disk_mb is out of range; expected more than 0 and under 1000000");
   out.max_disk_bytes = static_cast<size_t>(disk_mb * 1e6);
+  const double memory_mb = limits.value("memory_mb", kDefaultMemoryMb);
+  if (!(memory_mb > 0 && memory_mb < 1e6))
+    throw std::invalid_argument("limits.memory_mb is out of range; expected more than 0 and under 1000000");
+  out.max_memory_bytes = static_cast<size_t>(memory_mb * 1e6);
   const std::string durability = root.value("durability", "process");
   if (durability != "process" && durability != "group") {
     throw std::invalid_argument("durability is '" + durability + "'; expected process or group");
--- a/relay/config.h
+++ b/relay/config.h
@@ -19,6 +19,7 @@
   uint64_t seed = 0;
   size_t max_sockets = 1024;
   size_t max_disk_bytes = 0;
+  size_t max_memory_bytes = 0;
   umberhoist::state::Durability durability = umberhoist::state::Durability::kProcess;
   Settings settings;
   ListNames list_names;
--- a/relay/relay.cpp
+++ b/relay/relay.cpp
@@ -1,5 +1,7 @@
 #include "relay.h"
 
+#include <malloc.h>
+
 #include <algorithm>
 #include <boost/asio/post.hpp>
 #include <cstdio>
@@ -58,8 +60,42 @@
   return std::min(config.max_sockets / 2, config.max_sockets - kReservedDescriptors - max_calls(config));
 }
 
+umberhoist::resources::MemoryPlan plan_of(const Config& config) {
+  return umberhoist::resources::plan_memory(
+      {config.max_memory_bytes, config.max_disk_bytes, max_client_connections(config), max_calls(config)});
+}
+
+// A folder that an earlier process left larger than planned is not cut: what it holds is still owed.
+size_t journal_bytes(const Config& config, size_t planned, umberhoist::state::Files& files) {
+  size_t used = 0;
+  for (const std::string& name : files.list()) {
+    const int file = files.open(name);
+    if (file < 0) continue;
+    used += umberhoist::state::block_rounded(static_cast<size_t>(std::max<ssize_t>(0, files.size(file))));
+    files.close(file);
+  }
+  return used <= planned ? planned : config.max_disk_bytes;
+}
+
+// Heap that one open message takes beside its body, ids and key: its entries in the tables of the relay, the
+// module and the journal.
+constexpr size_t kMessageBytes = 1536;
+constexpr size_t kNoticeBytes = 512;  // the journal's entry and the queue's
+constexpr size_t kHostBytes = 1536;
+
+size_t memory_of(const Submission& submission) {
+  return kMessageBytes + submission.body.size() + 4 * submission.id.size() + submission.key.size();
+}
+
+constexpr Time kMemoryInterval = 250 * kMillisecond;
+// Free heap is given back to the system above this part of what may be held.
+constexpr size_t kMaxFreeHeapDivisor = 8;
+
 Upstream::Limits upstream_limits(const Config& config) {
+  const auto plan = plan_of(config);
   Upstream::Limits out;
+  out.send_buffer_bytes = plan.call_send_buffer;
+  out.receive_buffer_bytes = plan.call_receive_buffer;
   out.connect_timeout = config.settings.connect_timeout;
   out.idle_timeout = config.settings.conn_idle_timeout;
   out.max_connections = config.max_sockets - kReservedDescriptors - max_client_connections(config);
@@ -102,8 +138,11 @@
     : io_(io),
       config_(config),
       files_(files ? std::move(files) : umberhoist::state::make_posix_files(config.state_folder)),
-      journal_(*files_,
-               {config.max_disk_bytes, config.name, config.settings.max_attempts, 0, config.durability}),
+      memory_plan_(plan_of(config)),
+      memory_(memory_plan_),
+      memory_timer_(io),
+      journal_(*files_, {journal_bytes(config, memory_plan_.journal, *files_), config.name,
+                         config.settings.max_attempts, 0, config.durability}),
       policy_(config.settings, config.seed),
       capacity_forecast_(kMinBusyDelay,
                          config.settings.max_retry_after > 0
@@ -112,7 +151,7 @@
       wake_timer_(io),
       stop_timer_(io),
       notice_record_timer_(io),
-      finished_({.max_saved_bytes = config.max_disk_bytes / kFinishedDiskDivisor}),
+      finished_({memory_plan_.finished_messages, memory_plan_.journal / kFinishedDiskDivisor}),
       sync_timer_(io),
       notice_sender_(io, config.discovery, [this](const std::string& id) { record_done(id); }),
       upstream_(
@@ -151,6 +190,7 @@
   }
   load_metadata();
   on_host_list(config_.known_hosts);
+  watch_memory();
   watch_.start();
   open_timer_.expires_after(std::chrono::microseconds(kInitialListTimeout));
   open_timer_.async_wait([this](const boost::system::error_code& error) {
@@ -246,7 +286,9 @@
 void Relay::open_listener() {
   if (client_server_ || stopping_since_ != 0) return;
   resume_messages();
-  client_server_.emplace(io_, config_.listen, max_client_connections(config_),
+  const ClientServer::Limits limits = {max_client_connections(config_), memory_plan_.unpooled_input,
+                                       memory_plan_.client_socket_buffer};
+  client_server_.emplace(io_, config_.listen, limits, memory_,
                          [this](Submission submission, ClientServer::ReplyCallback reply) {
                            submit(std::move(submission), std::move(reply));
                          });
@@ -262,7 +304,10 @@
   journal_.recover([&](umberhoist::state::RecoveredMessage recovered) {
     if (recovered.pending_notice) {
       if (!recovered.pending_notice->returned) {
-        const OpenMessage ended{std::move(recovered.message), 0, recovered.attempts, true};
+        OpenMessage ended;
+        ended.submission = std::move(recovered.message);
+        ended.attempts = recovered.attempts;
+        ended.accepted = true;
         remember_finished(ended, FinishedAs::kFailed);
       }
       notice_sender_.add(*recovered.pending_notice);
@@ -273,6 +318,7 @@
     message.attempts = recovered.attempts;
     message.accepted = true;
     message.submission = std::move(recovered.message);
+    hold_body(message);
     numbers_by_id_[message.submission.id] = number;
     Arrival arrival;
     arrival.id = number;
@@ -342,6 +388,9 @@
                         (settings.effect != Effect::kUnsafe ||
                          (unsaved_finished_.empty() && finished_.has_room_to_save(steady_now())));
   if (!has_room) return reply(busy_reply(submission.body.size()));
+  const size_t memory_bytes = memory_of(submission);
+  if (!memory_.try_reserve(umberhoist::resources::MemoryUse::kMessages, memory_bytes))
+    return reply(busy_reply(submission.body.size()));
   const uint64_t number = ++last_number_;
   Arrival arrival;
   arrival.id = number;
@@ -350,7 +399,10 @@
   arrival.destination = submission.destination;
   arrival.tenant = tenant_of(submission.tenant);
   numbers_by_id_[submission.id] = number;
-  open_messages_[number] = {std::move(submission), arrival.due, 0, false};
+  OpenMessage& message = open_messages_[number];
+  message.submission = std::move(submission);
+  message.due = arrival.due;
+  message.memory_bytes = memory_bytes;
   pending_submissions_.push_back({number, std::move(reply)});
   post_event(arrival);
 }
@@ -561,12 +613,14 @@
         line->second = rejection->second;
       } else if (journal_.record_accepted(submission, wall_now() + message->second.due - steady_now())) {
         message->second.accepted = true;
+        hold_body(message->second);
         message->second.durable_position = journal_.written_position();
       } else {
         line->second = busy_reply(submission.body.size());  // no space in the journal
         post_event(Withdrawn{item.number});
       }
       if (!message->second.accepted) {
+        memory_.release(umberhoist::resources::MemoryUse::kMessages, message->second.memory_bytes);
         numbers_by_id_.erase(submission.id);
         open_messages_.erase(message);
       }
@@ -643,7 +697,7 @@
     call.address = host->address;
     call.call_id = message->second.submission.id;
     call.key = message->second.submission.key;
-    call.body = message->second.submission.body;
+    call.body = message->second.body;
     call.timeout = send->timeout;
     call.start_by = send->start_by;
     call.message_due = message->second.due;
@@ -677,6 +731,38 @@
   }
 }
 
+// The journal has its own copy by now, so that calls can share this one.
+void Relay::hold_body(OpenMessage& message) {
+  if (message.memory_bytes == 0) {  // recovered: it is owed, whatever there is room for
+    message.memory_bytes = memory_of(message.submission);
+    memory_.add(umberhoist::resources::MemoryUse::kMessages, message.memory_bytes);
+  }
+  message.body = std::make_shared<const std::string>(std::move(message.submission.body));
+  message.submission.body.clear();
+}
+
+// Compares what is held with the limit, and gives free heap back to the system.
+void Relay::watch_memory() {
+  using umberhoist::resources::MemoryUse;
+  memory_.set(MemoryUse::kCalls, upstream_.in_flight() * umberhoist::resources::kCallBytes);
+  memory_.set(MemoryUse::kFinishedMessages, finished_.memory_bytes());
+  memory_.set(MemoryUse::kHostList, directory_.hosts().size() * kHostBytes);
+  const size_t ending = journal_.live_messages() - std::min(journal_.live_messages(), open_messages_.size());
+  memory_.set(MemoryUse::kNotices, ending * kNoticeBytes);
+  const auto heap = ::mallinfo2();
+  memory_.set_measured(heap.uordblks + heap.hblkhd);
+  free_heap_after_trim_ = std::min<size_t>(free_heap_after_trim_, heap.fordblks);
+  if (heap.fordblks > free_heap_after_trim_ + memory_plan_.heap / kMaxFreeHeapDivisor) {
+    ::malloc_trim(0);
+    free_heap_after_trim_ = heap.fordblks;
+  }
+  if (const auto line = memory_.take_state_change(steady_now())) std::fprintf(stderr, "%s\n", line->c_str());
+  memory_timer_.expires_after(std::chrono::microseconds(kMemoryInterval));
+  memory_timer_.async_wait([this](const boost::system::error_code& error) {
+    if (!error) watch_memory();
+  });
+}
+
 // Ends a message. With a notice, the notice is recorded first and then sent.
 void Relay::end_message(uint64_t number, std::optional<Notice> notice) {
   const auto message = open_messages_.find(number);
@@ -694,7 +780,8 @@
 
 void Relay::forget_message(uint64_t number) {
   const auto message = open_messages_.find(number);
-  capacity_forecast_.record_release(steady_now(), message->second.submission.body.size());
+  capacity_forecast_.record_release(steady_now(), message->second.body->size());
+  memory_.release(umberhoist::resources::MemoryUse::kMessages, message->second.memory_bytes);
   numbers_by_id_.erase(message->second.submission.id);
   open_messages_.erase(message);
 }
--- a/relay/relay.h
+++ b/relay/relay.h
@@ -22,6 +22,7 @@
 #include "discovery.h"
 #include "finished_messages.h"
 #include "fleet_side.h"
+#include "resources/memory_account.h"
 #include "state/journal.h"
 #include "upstream.h"
 
@@ -53,6 +54,9 @@
     bool accepted = false;  // its journal record is written
     // Journal position up to which its acceptance and its last attempt have to be durable.
     uint64_t durable_position = 0;
+    size_t memory_bytes = 0;  // as in the memory account
+    // The submission's body, once the message is accepted; its calls share it.
+    std::shared_ptr<const std::string> body;
     int recorded_attempt = -1;  // the last attempt with a journal record; -1: none
   };
   template <class Value>
@@ -87,6 +91,8 @@
   void on_attempt_ended(const AttemptEnded& end, bool started);
   void on_call_returned(const Endpoint& endpoint);
   void post_event(Event event);
+  void hold_body(OpenMessage& message);
+  void watch_memory();
   void step();
   void reply_to_pending(const std::vector<Action>& actions);
   void execute(const Action& action);
@@ -121,6 +127,10 @@
   int64_t saved_revision_ = 0;
   bool hosts_saved_ = true;  // the journal holds all hosts of directory_, or will once writes succeed
   std::unique_ptr<umberhoist::state::Files> files_;
+  umberhoist::resources::MemoryPlan memory_plan_;
+  umberhoist::resources::MemoryAccount memory_;
+  boost::asio::steady_timer memory_timer_;
+  size_t free_heap_after_trim_ = 0;  // or less, if it shrank since
   umberhoist::state::Journal journal_;
   Policy policy_;
   std::vector<Event> events_;
--- a/relay/resp.cpp
+++ b/relay/resp.cpp
@@ -1,5 +1,6 @@
 #include "resp.h"
 
+#include <algorithm>
 #include <charconv>
 #include <utility>
 
@@ -28,15 +29,26 @@
 
 }  // namespace
 
-// Erases returned commands once per read and not once per command: one read may bring hundreds.
-void RespParser::feed(std::string_view bytes) {
-  buffer_.erase(0, std::exchange(consumed_, 0));
-  buffer_.append(bytes);
+// Erases returned commands once per read and not once per command: one read may bring hundreds. The buffer
+// grows to what is needed, not to twice that.
+void RespParser::feed(std::string_view bytes, size_t capacity) {
+  const size_t needed = std::max(capacity, size() + bytes.size());
+  if (needed <= buffer_.capacity()) {
+    buffer_.erase(0, std::exchange(consumed_, 0));
+    buffer_.append(bytes);
+    return;
+  }
+  std::string grown;
+  grown.reserve(needed);
+  grown.append(buffer_, consumed_).append(bytes);
+  buffer_.swap(grown);
+  consumed_ = 0;
 }
 
 std::optional<std::vector<std::string>> RespParser::next() {
   const std::string_view bytes = std::string_view(buffer_).substr(consumed_);
   size_t position = 0;
+  expected_size_ = 0;
   const auto count = read_header(bytes, position, '*');
   if (!count) return {};
   if (*count == 0 || *count > kMaxWords) throw RespError("number of words is out of range");
@@ -45,7 +57,10 @@
     const auto length = read_header(bytes, position, '$');
     if (!length) return {};
     if (*length > kMaxWordBytes || position + *length > kMaxCommandBytes) throw RespError("word is too long");
-    if (bytes.size() < position + *length + 2) return {};
+    if (bytes.size() < position + *length + 2) {
+      expected_size_ = position + *length + 2;
+      return {};
+    }
     words.push_back(bytes.substr(position, *length));
     if (bytes.substr(position + *length, 2) != "\r\n") throw RespError("word does not end where it should");
     position += *length + 2;
--- a/relay/upstream.cpp
+++ b/relay/upstream.cpp
@@ -9,6 +9,7 @@
 #include <optional>
 
 #include "reply_fields.h"
+#include "reply_parser.h"
 
 namespace firspool::relay {
 namespace {
@@ -40,8 +41,6 @@
   return error ? "unknown" : address.address().to_string() + ":" + std::to_string(address.port());
 }
 
-std::string_view view(boost::beast::string_view text) { return {text.data(), text.size()}; }
-
 }  // namespace
 
 // One request and its reply on one connection. The reply is read from the request's first byte on: a host may
@@ -98,6 +97,7 @@
 
   void connect(ConnectReason reason) {
     connection_ = owner_->make_connection(call_.endpoint, reason);
+    owner_->bound_socket_buffers(connection_->socket);
     set_timer(std::min(deadline_, started_at_ + owner_->limits_.connect_timeout));
     connection_->socket.async_connect(call_.address, [self = shared_from_this()](const Error& error) {
       if (self->finished_) return;
@@ -192,7 +192,7 @@
       if (!call_.key.empty()) request_.set("Idempotency-Key", call_.key);
       const Time left = std::max<Time>(1, (deadline_ - steady_now()) / 1000);
       request_.set("X-Budget", std::to_string(left) + "m");
-      request_.body() = std::move(call_.body);
+      request_.body() = {call_.body->data(), call_.body->size()};
       request_.prepare_payload();
     }
     http::async_write(connection_->socket, request_, [self = shared_from_this()](const Error& error, size_t) {
@@ -257,7 +257,7 @@
       status_line_parsed_ = status_line_parsed_ || consumed > 0;
       buffer_.consume(consumed);
       if (error && error != http::error::need_more) return false;
-      if (!parser_->is_done() || parser_->get().result_int() >= 200) return true;
+      if (!parser_->is_done() || parser_->status() >= 200) return true;
       parser_.reset();  // 1xx: the final reply follows
       status_line_parsed_ = false;
       if (buffer_.size() == 0) return true;
@@ -281,21 +281,18 @@
   // the status line says 200. A Retry-After in a complete header still counts.
   void finish_malformed() {
     final_ = status_ok_;
-    if (parser_ && parser_->is_header_done() && parser_->get().result_int() == 429) read_retry_after();
+    if (parser_ && parser_->is_header_done() && parser_->status() == 429) read_retry_after();
     finish(status_ok_ ? Outcome::kOk : Outcome::kMalformed);
   }
 
-  void read_retry_after() {
-    retry_after_ = parse_retry_after(view(parser_->get()[http::field::retry_after]));
-  }
+  void read_retry_after() { retry_after_ = parse_retry_after(parser_->retry_after()); }
 
   void on_reply_complete() {
-    const auto& reply = parser_->get();
     drop_line_breaks();
     reply_complete_ = true;
     keep_alive_ = parser_->keep_alive() && buffer_.size() == 0 && request_state_ == RequestState::kSent;
-    load_report_ = parse_report(view(reply["X-Load-Report"]), owner_->report_fields_);
-    switch (reply.result_int()) {
+    load_report_ = parse_report(parser_->load_report(), owner_->report_fields_);
+    switch (parser_->status()) {
       case 200:
         final_ = true;
         return finish(Outcome::kOk);
@@ -306,7 +303,7 @@
         read_retry_after();
         return finish(Outcome::kRefused);
       case 503:
-        if (view(reply["X-Egress-Full"]) == "1") return finish(Outcome::kNotStarted);
+        if (parser_->egress_full() == "1") return finish(Outcome::kNotStarted);
         // Refused and closed on a new connection: the host has reached its limit of connections. If it is
         // over a rate limit or its queue is full, it keeps the connection open.
         connection_limit_reached_ = is_first_request() && !parser_->keep_alive();
@@ -374,7 +371,7 @@
       owner_->keep_idle(connection_, is_probe_);
     } else if (reply_complete_ && unverified && request_state_ == RequestState::kSent) {
       if (!final_) {
-        const int status = static_cast<int>(parser_->get().result_int());
+        const int status = parser_->status();
         owner_->log_.on_call_given_up(steady_now(), call_.call_id, status, connection_->id,
                                       connection_->requests);
       }
@@ -392,9 +389,9 @@
   bool is_probe_;
   ConnectionPool::ConnectionPtr connection_;
   boost::asio::steady_timer timer_;
-  http::request<http::string_body> request_;
+  http::request<http::span_body<const char>> request_;  // refers to the body in call_
   boost::beast::flat_buffer buffer_{kMaxBodyBytes};
-  std::optional<http::response_parser<http::string_body>> parser_;
+  std::optional<ReplyParser> parser_;
   Time started_at_ = 0;
   Time deadline_ = 0;
   uint64_t timer_generation_ = 0;  // number of times that timer_ was set
@@ -487,6 +484,17 @@
   return std::make_shared<HostConnection>(io_, ++last_connection_id_, endpoint);
 }
 
+// Bounds what the kernel holds for a connection. If the socket cannot be opened, connecting says so.
+void Upstream::bound_socket_buffers(tcp::socket& socket) const {
+  if (limits_.send_buffer_bytes == 0) return;
+  Error ignored;
+  socket.open(tcp::v4(), ignored);
+  if (!socket.is_open()) return;
+  socket.set_option(tcp::socket::send_buffer_size(static_cast<int>(limits_.send_buffer_bytes)), ignored);
+  socket.set_option(tcp::socket::receive_buffer_size(static_cast<int>(limits_.receive_buffer_bytes)),
+                    ignored);
+}
+
 // A refusal frees a message that may not be repeated to be sent again, so it has to be certain.
 ConnectionPool::ConnectionPtr Upstream::take_idle(const Call& call) {
   if (!unverified_.may_reuse_host(call.endpoint, steady_now())) return nullptr;
--- a/relay/upstream.h
+++ b/relay/upstream.h
@@ -25,7 +25,7 @@
   tcp::endpoint address;
   std::string call_id;
   std::string key;
-  std::string body;
+  std::shared_ptr<const std::string> body;  // null for a probe
   Time timeout = 0;
   Time start_by = 0;       // the first byte must be written by this time
   Time message_due = 0;    // the message needs its end by then
@@ -38,6 +38,9 @@
     Time connect_timeout = 0;
     Time idle_timeout = 0;         // after which a host closes an idle connection
     size_t max_connections = 256;  // in use or idle
+    // Of each connection, in the kernel; 0: as the system has it.
+    size_t send_buffer_bytes = 0;
+    size_t receive_buffer_bytes = 0;
   };
   // Called right before the first byte of a call. kNo ends the call as Outcome::kNotStarted; kLater defers it
   // until `retry_deferred`, which calls again.
@@ -76,6 +79,7 @@
   class Exchange;
 
   ConnectionPool::Hooks pool_hooks();
+  void bound_socket_buffers(tcp::socket& socket) const;
   ConnectionPool::ConnectionPtr make_connection(const Endpoint& endpoint, ConnectReason reason);
   ConnectionPool::ConnectionPtr take_idle(const Call& call);
   ConnectReason reason_for_new_connection(const Call& call) const;
--- a/tests/clients_test.cpp
+++ b/tests/clients_test.cpp
@@ -47,13 +47,16 @@
     return count;
   }
 
+  umberhoist::resources::MemoryPlan plan_{.heap = 4'000'000, .clients = 1'000'000};
+  umberhoist::resources::MemoryAccount memory_{plan_};
   boost::asio::io_context io_;
   std::vector<std::string> submitted_;
   bool reply_at_once_ = true;
   std::vector<ClientServer::ReplyCallback> pending_replies_;
   ClientServer server_{io_,
                        {boost::asio::ip::address_v4::loopback(), 0},
-                       64,
+                       {.max_connections = 64},
+                       memory_,
                        [this](Submission submission, ClientServer::ReplyCallback reply) {
                          submitted_.push_back(submission.id);
                          reply_at_once_ ? reply("+OK") : pending_replies_.push_back(std::move(reply));
--- /dev/null
+++ b/tests/resources/memory_limit_test.cpp
@@ -0,0 +1,171 @@
+// The daemon under crowds of clients and hosts, at small limits of memory: its resident size and its folder
+// stay below the limit, and other clients get their answers in time.
+#include <sys/socket.h>
+
+#include <chrono>
+#include <filesystem>
+#include <fstream>
+#include <thread>
+
+#include "peers.h"
+
+namespace firspool::testing {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::steady_clock;
+
+constexpr size_t kBodyBytes = 64 * 1024;
+constexpr milliseconds kClientTimeout{400};
+
+class MemoryLimit : public ::testing::TestWithParam<int> {
+ protected:
+  MemoryLimit() {
+    config_["limits"]["memory_mb"] = GetParam();
+    config_["limits"]["disk_mb"] = 64;
+    config_["settings"]["bounds"]["open_cap"] = 100'000;
+    relay_ = std::make_unique<RelayProcess>(config_);
+    relay_->start_planted(UMBERHOIST_UNSANITIZED, "");
+  }
+
+  static std::string attributes() { return "c=safe,d=60000,dest=7"; }
+
+  // Peak resident size and the files of the folder, in bytes.
+  size_t memory() const {
+    size_t bytes = 0;
+    std::ifstream status("/proc/" + std::to_string(relay_->pid()) + "/status");
+    for (std::string line; std::getline(status, line);) {
+      if (line.starts_with("VmHWM:")) bytes += 1024 * std::stoul(line.substr(6));
+    }
+    EXPECT_GT(bytes, 0u) << "the relay has ended";
+    for (const auto& file : std::filesystem::directory_iterator(relay_->state_folder()))
+      bytes += file.file_size();
+    return bytes;
+  }
+
+  void expect_within_limit() const { EXPECT_LE(memory(), static_cast<size_t>(GetParam()) * 1'000'000); }
+
+  // As many bytes as the kernel takes at once; the rest is left out.
+  static void send_part(const Socket& client, const std::string& bytes) {
+    ::send(client.fd(), bytes.data(), bytes.size(), MSG_DONTWAIT | MSG_NOSIGNAL);
+  }
+
+  // Small requests of other clients, each on a new connection.
+  void expect_answers(int requests) {
+    for (int i = 0; i < requests; ++i) {
+      const auto from = steady_clock::now();
+      Socket client = relay_->client();
+      client.send(put_command("good" + std::to_string(++good_), attributes()));
+      const std::string answer = client.read_line();
+      EXPECT_TRUE(answer == "+OK" || answer.starts_with("-BUSY")) << answer;
+      EXPECT_LT(steady_clock::now() - from, kClientTimeout) << i;
+    }
+  }
+
+  FakeHost host_;  // accepts no connection: calls hang
+  FakeDiscovery discovery_;
+  nlohmann::json config_ = config_json(discovery_.address(), {member_json("s-1", host_.address(), 7)});
+  std::unique_ptr<RelayProcess> relay_;
+  int good_ = 0;
+};
+
+TEST_P(MemoryLimit, IsKeptUnderClientsThatStopWithinALargeRequest) {
+  const std::string request = put_command("half", attributes(), std::string(kBodyBytes, 'x'));
+  std::vector<Socket> clients;
+  for (int round = 0; round < 3; ++round) {
+    for (int i = 0; i < 300; ++i) {
+      clients.push_back(relay_->client());
+      send_part(clients.back(), request.substr(0, request.size() - 100));
+    }
+    expect_answers(5);
+    clients.clear();
+  }
+  expect_within_limit();
+}
+
+TEST_P(MemoryLimit, IsKeptUnderMessagesThatNobodyTakes) {
+  std::string answer;
+  for (int i = 0; i < 2000 && !answer.starts_with("-BUSY"); ++i) {
+    Socket client = relay_->client();
+    client.send(put_command("m" + std::to_string(i), attributes(), std::string(kBodyBytes, 'x')));
+    answer = client.read_line();
+  }
+  EXPECT_TRUE(answer.starts_with("-BUSY")) << answer;
+  expect_within_limit();
+  relay_->kill();
+  relay_->start_planted(UMBERHOIST_UNSANITIZED, "");  // finds all of them in its folder
+  expect_answers(5);
+  expect_within_limit();
+}
+
+TEST_P(MemoryLimit, IsKeptUnderClientsThatReadNoReply) {
+  const std::string ping =
+      "*2\r\n$4\r\nPING\r\n$" + std::to_string(60'000) + "\r\n" + std::string(60'000, 'x') + "\r\n";
+  std::string pings;
+  for (int i = 0; i < 30; ++i) pings += ping;
+  std::vector<Socket> clients;
+  for (int i = 0; i < 300; ++i) {
+    clients.push_back(relay_->client());
+    send_part(clients.back(), pings);
+  }
+  expect_answers(10);
+  expect_within_limit();
+}
+
+TEST_P(MemoryLimit, IsKeptUnderOneClientThatFloods) {
+  Socket client = relay_->client();
+  std::string requests;
+  for (int i = 0; i < 200; ++i) requests += put_command("flood", "c=safe,d=1,dest=nowhere");
+  const auto until = steady_clock::now() + milliseconds(1000);
+  while (steady_clock::now() < until) {
+    send_part(client, requests);
+    std::string replies(65536, '\0');
+    ::recv(client.fd(), replies.data(), replies.size(), MSG_DONTWAIT);
+    expect_answers(1);
+  }
+  expect_within_limit();
+}
+
+INSTANTIATE_TEST_SUITE_P(Megabytes, MemoryLimit, ::testing::Values(16, 24, 192),
+                         [](const auto& parameter) { return std::to_string(parameter.param); });
+
+// Guards against hosts whose answers take the relay's memory: heads of very many fields, and bodies without
+// end.
+TEST(MemoryLimitOfCalls, IsKeptUnderAnswersThatNeverEnd) {
+  Socket listener = Socket::listen();
+  FakeDiscovery discovery;
+  nlohmann::json config = config_json(
+      discovery.address(), {member_json("s-1", "127.0.0.1:" + std::to_string(listener.port()), 7)});
+  config["limits"]["memory_mb"] = 16;
+  config["settings"]["bounds"]["open_cap"] = 1000;
+  config["settings"]["family_info"]["calls_out"] = 200;
+  RelayProcess relay(config);
+  relay.start_planted(UMBERHOIST_UNSANITIZED, "");
+  std::vector<Socket> clients, calls;
+  for (int i = 0; i < 200; ++i) {
+    clients.push_back(relay.client());
+    clients.back().send(put_command("m" + std::to_string(i), "c=safe,d=60000,dest=7"));
+  }
+  std::string head = "HTTP/1.1 200 OK\r\n";
+  for (int i = 0; i < 1500; ++i) head += "a:\r\n";
+  const std::string body = "Content-Length: 60000\r\n\r\n" + std::string(50'000, 'x');
+  for (int i = 0; i < 100; ++i) {
+    calls.push_back(listener.accept());
+    ASSERT_TRUE(read_request(calls.back()));
+    ::send(calls.back().fd(), head.data(), head.size(), MSG_NOSIGNAL);
+    if (i % 2 == 0) ::send(calls.back().fd(), body.data(), body.size(), MSG_DONTWAIT | MSG_NOSIGNAL);
+  }
+  Socket client = relay.client();
+  client.send("*1\r\n$4\r\nPING\r\n");
+  EXPECT_EQ(client.read_line(), "+PONG");
+  size_t resident = 0;
+  std::ifstream status("/proc/" + std::to_string(relay.pid()) + "/status");
+  for (std::string line; std::getline(status, line);) {
+    if (line.starts_with("VmHWM:")) resident = 1024 * std::stoul(line.substr(6));
+  }
+  EXPECT_GT(resident, 0u);
+  EXPECT_LE(resident, 16'000'000u);
+}
+
+}  // namespace
+}  // namespace firspool::testing
--- a/tests/upstream_test.cpp
+++ b/tests/upstream_test.cpp
@@ -33,7 +33,7 @@
     next.endpoint = {1, 0};
     next.address = {boost::asio::ip::address_v4::loopback(), port};
     next.call_id = "9b1f03aa5c7e2d41";
-    next.body = body_;
+    next.body = std::make_shared<const std::string>(body_);
     next.timeout = timeout;
     next.may_repeat = may_repeat_;
     next.message_due = message_due_;
