A host's socket is opened with its own protocol before its buffers are bounded

Cause, by reading again: the socket was opened for IPv4 whatever address the list gave, so that a host listed with an IPv6 address could not be called. Change: the address's protocol is used.

--- a/relay/upstream.cpp
+++ b/relay/upstream.cpp
@@ -97,7 +97,7 @@
 
   void connect(ConnectReason reason) {
     connection_ = owner_->make_connection(call_.endpoint, reason);
-    owner_->bound_socket_buffers(connection_->socket);
+    owner_->open_bounded(connection_->socket, call_.address);
     set_timer(std::min(deadline_, started_at_ + owner_->limits_.connect_timeout));
     connection_->socket.async_connect(call_.address, [self = shared_from_this()](const Error& error) {
       if (self->finished_) return;
@@ -485,10 +485,10 @@
 }
 
 // Bounds what the kernel holds for a connection. If the socket cannot be opened, connecting says so.
-void Upstream::bound_socket_buffers(tcp::socket& socket) const {
+void Upstream::open_bounded(tcp::socket& socket, const tcp::endpoint& address) const {
   if (limits_.send_buffer_bytes == 0) return;
   Error ignored;
-  socket.open(tcp::v4(), ignored);
+  socket.open(address.protocol(), ignored);
   if (!socket.is_open()) return;
   socket.set_option(tcp::socket::send_buffer_size(static_cast<int>(limits_.send_buffer_bytes)), ignored);
   socket.set_option(tcp::socket::receive_buffer_size(static_cast<int>(limits_.receive_buffer_bytes)),
--- a/relay/upstream.h
+++ b/relay/upstream.h
@@ -79,7 +79,7 @@
   class Exchange;
 
   ConnectionPool::Hooks pool_hooks();
-  void bound_socket_buffers(tcp::socket& socket) const;
+  void open_bounded(tcp::socket& socket, const tcp::endpoint& address) const;
   ConnectionPool::ConnectionPtr make_connection(const Endpoint& endpoint, ConnectReason reason);
   ConnectionPool::ConnectionPtr take_idle(const Call& call);
   ConnectReason reason_for_new_connection(const Call& call) const;
