A restart that the list tells of counts once, and a changed address leaves nothing behind

Cause, by reading again: a destination whose hosts were restarted was reported with each list for as long as the wall clock said so, which a clock stepped back makes an hour; a host that leaves with another address left a handle of the former one, at which the next list failed; a superseded host could be saved without its removal. Change: cold destinations are taken once, after the list that told of the last restart, and their age is bounded; the two look-ups do without what is gone. Result: DirectoryOfProcesses plays a clock an hour behind, a second look, and the changed address.

--- a/relay/directory.cpp
+++ b/relay/directory.cpp
@@ -4,6 +4,7 @@
 #include <charconv>
 #include <nlohmann/json.hpp>
 #include <stdexcept>
+#include <utility>
 
 namespace firspool::relay {
 namespace {
@@ -81,7 +82,9 @@
 bool Directory::yields_address(const ListedHost& listed, std::vector<Member>& changed) {
   const auto at_address = handles_by_address_.find(listed.address);
   if (at_address == handles_by_address_.end()) return false;
-  ListedHost& other = hosts_.at(at_address->second);
+  const auto known = hosts_.find(at_address->second);
+  if (known == hosts_.end()) return false;
+  ListedHost& other = known->second;
   if (other.id == listed.id || other.member.state == HostState::kRemoved) return false;
   if (other.up_since > listed.up_since) return true;
   if (other.up_since < listed.up_since) {
@@ -102,6 +105,7 @@
   bool restarted = false;
   if (handle != handles_by_id_.end()) {
     const ListedHost& known = hosts_.at(handle->second);
+    if (known.up_since < listed.up_since) restarted_destinations_.insert(listed.member.destination);
     restarted = known.up_since < listed.up_since || (known.restarted && known.up_since == listed.up_since);
     const bool elsewhere = known.address != listed.address || known.member.kind != listed.member.kind ||
                            known.member.destination != listed.member.destination;
@@ -195,10 +199,12 @@
   return it != handles_by_id_.end() && it->second != host.member.endpoint;
 }
 
-std::map<int, Time> Directory::cold_destinations(Time wall, Time warm_up) const {
+std::map<int, Time> Directory::take_cold_destinations(Time wall, Time warm_up) {
   std::map<int, Time> started;  // 0: a host of it is warm
+  const std::set<int> candidates = std::exchange(restarted_destinations_, {});
+  if (candidates.empty()) return started;
   for (const auto& [handle, host] : hosts_) {
-    if (host.member.state != HostState::kReady) continue;
+    if (host.member.state != HostState::kReady || !candidates.contains(host.member.destination)) continue;
     const Time at = host.restarted && wall - host.up_since < warm_up ? host.up_since : 0;
     const auto [it, is_first] = started.try_emplace(host.member.destination, at);
     if (!is_first) it->second = std::min(it->second, at);
--- a/relay/directory.h
+++ b/relay/directory.h
@@ -57,8 +57,8 @@
   // Whether the id of the host has a newer handle.
   bool is_superseded(const ListedHost& host) const;
   // Destinations of which each active host was restarted within `warm_up` before `wall`, with the time at
-  // which the first of them started.
-  std::map<int, Time> cold_destinations(Time wall, Time warm_up) const;
+  // which the first of them started. Each is returned once, after the list that told of the last restart.
+  std::map<int, Time> take_cold_destinations(Time wall, Time warm_up);
   bool is_active(const Endpoint& endpoint) const;
   // Whether the destination has had a host at some time.
   bool is_known(int destination) const { return destinations_.contains(destination); }
@@ -95,6 +95,7 @@
   int64_t complete_at_revision_ = -1;
   Time complete_at_ = 0;
   std::set<int> destinations_;
+  std::set<int> restarted_destinations_;  // a host of them was restarted since take_cold_destinations()
 };
 
 }  // namespace firspool::relay
--- a/relay/relay.cpp
+++ b/relay/relay.cpp
@@ -447,8 +447,9 @@
   const bool removed = host.member.state == HostState::kRemoved;
   const bool saved = journal_.put_metadata(kHostPrefix + host.id, removed ? "" : host.json_text);
   if (removed) journal_.put_metadata(kEndpointPrefix + host.id, "");
-  journal_.put_metadata(kRemovedPrefix + host.id,
-                        removed ? std::to_string(directory_.removed().at(host.id)) : "");
+  const auto removal = directory_.removed().find(host.id);
+  const bool keep_removal = removed && removal != directory_.removed().end();
+  journal_.put_metadata(kRemovedPrefix + host.id, keep_removal ? std::to_string(removal->second) : "");
   return saved;
 }
 
@@ -461,10 +462,11 @@
 // relay that saw no call fail there and has not been served since.
 void Relay::report_cold_destinations() {
   const Time wall = wall_now();
-  for (const auto& [destination, started] : directory_.cold_destinations(wall, config_.settings.slow_start)) {
+  const Time warm_up = config_.settings.slow_start;
+  for (const auto& [destination, started] : directory_.take_cold_destinations(wall, warm_up)) {
     PeerHealthReport report;
     report.destination = destination;
-    report.outage_start = steady_now() - std::max<Time>(0, wall - started);
+    report.outage_start = steady_now() - std::clamp<Time>(wall - started, 0, warm_up);
     post_event(report);
   }
 }
--- a/tests/parts_test.cpp
+++ b/tests/parts_test.cpp
@@ -132,12 +132,25 @@
   constexpr Time kWarmUp = 12'000'000;
   apply({member("s-1", "127.0.0.1:80", 7), member("s-2", "127.0.0.1:81", 7)});
   apply({member("s-1", "127.0.0.1:80", 7, kStart)});
-  EXPECT_TRUE(directory_.cold_destinations(kStart, kWarmUp).empty()) << "s-2 is warm";
+  EXPECT_TRUE(directory_.take_cold_destinations(kStart, kWarmUp).empty()) << "s-2 is warm";
   apply({member("s-2", "127.0.0.1:81", 7, kStart + 1000)});
-  EXPECT_EQ(directory_.cold_destinations(kStart, kWarmUp), (std::map<int, Time>{{7, kStart}}));
-  EXPECT_TRUE(directory_.cold_destinations(kStart + kWarmUp, kWarmUp).empty());
+  EXPECT_EQ(directory_.take_cold_destinations(kStart - 3600 * Time{1'000'000}, kWarmUp),
+            (std::map<int, Time>{{7, kStart}}));
+  EXPECT_TRUE(directory_.take_cold_destinations(kStart, kWarmUp).empty()) << "told once";
+  apply({member("s-1", "127.0.0.1:80", 7, kStart + 2000), member("s-2", "127.0.0.1:81", 7, kStart + 2000)});
+  EXPECT_TRUE(directory_.take_cold_destinations(kStart + 2 * kWarmUp, kWarmUp).empty()) << "warm by now";
   apply({member("s-3", "127.0.0.1:82", 8, kStart)});
-  EXPECT_FALSE(directory_.cold_destinations(kStart, kWarmUp).contains(8)) << "it is new, and was not out";
+  EXPECT_FALSE(directory_.take_cold_destinations(kStart, kWarmUp).contains(8)) << "it is new, not restarted";
+}
+
+TEST_F(DirectoryOfProcesses, AHostThatLeavesWithAnotherAddressLeavesNothingBehind) {
+  apply({member("s-1", "127.0.0.1:80", 7)});
+  nlohmann::json left = member("s-1", "127.0.0.1:81", 7);
+  left["phase"] = "left";
+  apply({left});
+  directory_.erase(directory_.hosts().begin()->first);
+  apply({member("s-2", "127.0.0.1:80", 7, kStart)});
+  EXPECT_EQ(active_hosts(), (Hosts{{"s-2", 7}}));
 }
 
 // An agent may be behind another one: its list may advance the state of hosts but must not revert it.
