A test of the memory limit no longer waits for ever where the machine is slow

The relay makes some 200 calls at once, the test's listener let 64 wait, and Socket::accept had no deadline. Where the test accepted late, the other calls were given up and accept waited for ever.

No bound of the check itself is changed.

--- a/tests/peers.cpp
+++ b/tests/peers.cpp
@@ -32,10 +32,11 @@
 
 }  // namespace
 
-Socket Socket::listen() {
+Socket Socket::listen(int backlog) {
   Socket out(::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0));
   const sockaddr_in at = loopback(0);
-  if (::bind(out.fd_, reinterpret_cast<const sockaddr*>(&at), sizeof at) != 0 || ::listen(out.fd_, 64) != 0) {
+  if (::bind(out.fd_, reinterpret_cast<const sockaddr*>(&at), sizeof at) != 0 ||
+      ::listen(out.fd_, backlog) != 0) {
     throw std::runtime_error("cannot listen");
   }
   return out;
@@ -48,7 +49,10 @@
   return out;
 }
 
-Socket Socket::accept() const { return Socket(::accept4(fd_, nullptr, nullptr, SOCK_CLOEXEC)); }
+Socket Socket::accept() const {
+  if (!readable(fd_, kDeadlineMs)) return Socket();
+  return Socket(::accept4(fd_, nullptr, nullptr, SOCK_CLOEXEC));
+}
 
 uint16_t Socket::port() const {
   sockaddr_in at{};
--- a/tests/peers.h
+++ b/tests/peers.h
@@ -19,6 +19,7 @@
 namespace firspool::testing {
 
 constexpr int kDeadlineMs = 30'000;
+constexpr int kBacklog = 64;
 
 class Socket {
  public:
@@ -30,9 +31,9 @@
   }
   ~Socket() { close(); }
 
-  static Socket listen();
+  static Socket listen(int backlog = kBacklog);  // connections that wait to be accepted
   static Socket connect(uint16_t port);
-  Socket accept() const;
+  Socket accept() const;  // closed if none comes before the deadline
 
   bool is_open() const { return fd_ >= 0; }
   int fd() const { return fd_; }
--- a/tests/resources/memory_limit_test.cpp
+++ b/tests/resources/memory_limit_test.cpp
@@ -132,26 +132,28 @@
 // Guards against hosts whose answers take the relay's memory: heads of very many fields, and bodies without
 // end.
 TEST(MemoryLimitOfCalls, IsKeptUnderAnswersThatNeverEnd) {
-  Socket listener = Socket::listen();
+  constexpr int kCalls = 200;
+  constexpr int kAnswers = 100;
+  Socket listener = Socket::listen(kCalls);  // all connect, however late they are accepted
   FakeDiscovery discovery;
   nlohmann::json config = config_json(
       discovery.address(), {member_json("s-1", "127.0.0.1:" + std::to_string(listener.port()), 7)});
   config["limits"]["memory_mb"] = 16;
   config["settings"]["bounds"]["open_cap"] = 1000;
-  config["settings"]["family_info"]["calls_out"] = 200;
+  config["settings"]["family_info"]["calls_out"] = kCalls;
   RelayProcess relay(config);
   relay.start_planted(UMBERHOIST_UNSANITIZED, "");
   std::vector<Socket> clients, calls;
-  for (int i = 0; i < 200; ++i) {
+  for (int i = 0; i < kCalls; ++i) {
     clients.push_back(relay.client());
     clients.back().send(put_command("m" + std::to_string(i), "c=safe,d=60000,dest=7"));
   }
   std::string head = "HTTP/1.1 200 OK\r\n";
   for (int i = 0; i < 1500; ++i) head += "a:\r\n";
   const std::string body = "Content-Length: 60000\r\n\r\n" + std::string(50'000, 'x');
-  for (int i = 0; i < 100; ++i) {
+  for (int i = 0; i < kAnswers; ++i) {
     calls.push_back(listener.accept());
-    ASSERT_TRUE(read_request(calls.back()));
+    ASSERT_TRUE(read_request(calls.back())) << i;
     ::send(calls.back().fd(), head.data(), head.size(), MSG_NOSIGNAL);
     if (i % 2 == 0) ::send(calls.back().fd(), body.data(), body.size(), MSG_DONTWAIT | MSG_NOSIGNAL);
   }
