--- a/relay/directory.cpp
+++ b/relay/directory.cpp
@@ -93,6 +93,12 @@
   removed_.try_emplace(host.id, std::max(wall, host.up_since));
 }
 
+void Directory::release_address(const ListedHost& host) {
+  const auto handle = handles_by_address_.find(host.address);
+  if (handle != handles_by_address_.end() && handle->second == host.member.endpoint)
+    handles_by_address_.erase(handle);
+}
+
 // The calls in flight at the former place keep their handle until they end.
 void Directory::supersede(const Endpoint& handle, std::vector<Member>& changed) {
   ListedHost& host = hosts_.at(handle);
@@ -142,6 +148,7 @@
     handle = handles_by_id_.emplace(listed.id, Endpoint{++last_handle_, 0}).first;
   }
   ListedHost& host = hosts_[handle->second];
+  if (host.address != listed.address) release_address(host);
   host = listed;
   host.restarted = restarted;
   host.member.endpoint = handle->second;
@@ -196,9 +203,7 @@
   if (it == hosts_.end()) return;
   const auto by_id = handles_by_id_.find(it->second.id);
   if (by_id != handles_by_id_.end() && by_id->second == endpoint) handles_by_id_.erase(by_id);
-  const auto by_address = handles_by_address_.find(it->second.address);
-  if (by_address != handles_by_address_.end() && by_address->second == endpoint)
-    handles_by_address_.erase(by_address);
+  release_address(it->second);
   hosts_.erase(it);
 }
 
--- a/relay/directory.h
+++ b/relay/directory.h
@@ -77,6 +77,7 @@
   int64_t revision() const { return revision_; }
   const std::map<Endpoint, ListedHost>& hosts() const { return hosts_; }
   const std::set<int>& destinations() const { return destinations_; }
+  size_t address_count() const { return handles_by_address_.size(); }
 
   // For a removed host without calls in flight. Its id is kept for a while, as older lists may still contain
   // it.
@@ -93,6 +94,7 @@
   bool yields_address(const ListedHost& listed, std::vector<Member>& changed);
   void supersede(const Endpoint& handle, std::vector<Member>& changed);
   void add_removal(const ListedHost& host, Time wall);
+  void release_address(const ListedHost& host);
   void update_host(const ListedHost& listed, Time wall, std::vector<Member>& changed);
 
   int64_t revision_ = -1;
--- a/tests/parts_test.cpp
+++ b/tests/parts_test.cpp
@@ -271,6 +271,20 @@
   expect_size(list(4, true, {"s-1", "s-3"}), 3, 0);
 }
 
+TEST(Directory, KeepsNoAddressOfAHostThatLeftUnderAnother) {
+  const ListNames names{{"a"}, {"std"}};
+  Directory directory;
+  const auto apply = [&](int revision, const std::string& port, const std::string& phase) {
+    const auto json =
+        testing::list_json(revision, false, {testing::member_json("s-1", "127.0.0.1:" + port, 7, phase)});
+    directory.apply(parse_list(json, names), revision);
+  };
+  apply(1, "80", "active");
+  apply(2, "81", "left");
+  directory.erase(directory.hosts().begin()->first);
+  EXPECT_EQ(directory.address_count(), 0u);
+}
+
 // Hosts get new ids all the time: removed ones must not be kept for ever.
 TEST(Directory, ForgetsWhatIsGone) {
   const ListNames names{{"a"}, {"std"}};
