--- a/relay/relay.cpp
+++ b/relay/relay.cpp
@@ -19,8 +19,6 @@
 const std::string kRevisionKey = "revision";             // of the newest list of which anything is saved
 const std::string kSavedRevisionKey = "revision_saved";  // of the newest list that is saved as a whole
 const std::string kDestinationsKey = "destinations";
-// Ids of unsafe messages that ended: a number that orders them, negative if the message failed.
-const std::string kFinishedPrefix = "finished ";
 
 const std::string kAcceptedReply = "+OK";
 const std::string kFailedReply = "-ERR failed";
@@ -96,8 +94,7 @@
 // Free heap is given back to the system above this part of what may be held.
 constexpr size_t kMaxFreeHeapDivisor = 8;
 
-Upstream::Limits upstream_limits(const Config& config) {
-  const auto plan = plan_of(config);
+Upstream::Limits upstream_limits(const Config& config, const umberhoist::resources::MemoryPlan& plan) {
   Upstream::Limits out;
   out.send_buffer_bytes = plan.call_send_buffer;
   out.receive_buffer_bytes = plan.call_receive_buffer;
@@ -156,11 +153,11 @@
       wake_timer_(io),
       stop_timer_(io),
       notice_record_timer_(io),
-      finished_({memory_plan_.finished_messages, memory_plan_.journal / kFinishedDiskDivisor}),
+      finished_(journal_, {memory_plan_.finished_messages, memory_plan_.journal / kFinishedDiskDivisor}),
       sync_timer_(io),
-      notice_sender_(io, config.discovery, [this](const std::string& id) { record_done(id); }),
+      notice_sender_(io, config.discovery, [this](const std::string& id) { finished_.record_done(id); }),
       upstream_(
-          io, upstream_limits(config), config.report_fields,
+          io, upstream_limits(config, memory_plan_), config.report_fields,
           [this](const Call& call) { return may_start(call); },
           [this](const Endpoint& endpoint) { return may_probe(endpoint); },
           [this](const AttemptEnded& end, bool started) { on_attempt_ended(end, started); },
@@ -239,7 +236,7 @@
   if (saved_revision || !list.hosts.empty()) restore_host_list(list, saved_revision.value_or(list.revision));
   for (const DestinationState& state : states) post_event(state);
   restore_endpoint_states(metadata);
-  restore_finished(metadata);
+  finished_.restore(metadata, steady_now());
 }
 
 // `saved_revision`: all changes up to it are in `list`. If records of the journal are lost, hosts may be
@@ -381,7 +378,7 @@
     pending_submissions_.push_back({number->second, std::move(reply)});
     return;
   }
-  save_finished_later();
+  finished_.save_later();
   if (const auto finished = finished_.find(submission.id)) {
     return reply(*finished == FinishedAs::kDelivered ? kAcceptedReply : kFailedReply);
   }
@@ -394,8 +391,7 @@
     return reply("-ERR unknown tenant");
   if (!directory_.is_known(submission.destination)) return reply("-ERR unknown destination");
   const bool has_room = open_messages_.size() < static_cast<size_t>(config_.settings.max_open) &&
-                        (settings.effect != Effect::kUnsafe ||
-                         (unsaved_finished_.empty() && finished_.has_room_to_save(steady_now())));
+                        (settings.effect != Effect::kUnsafe || finished_.has_room_to_save(steady_now()));
   if (!has_room) return reply(busy_reply(submission.body.size()));
   const size_t memory_bytes = memory_of(submission);
   if (!memory_.try_reserve(umberhoist::resources::MemoryUse::kMessages, memory_bytes))
@@ -621,8 +617,8 @@
   policy_.step(steady_now(), events, actions);
   reply_to_pending(actions);
   for (const Action& action : actions) execute(action);
-  save_finished_later();
-  forget_finished(finished_.take_forgotten(steady_now()));
+  finished_.save_later();
+  finished_.prune(steady_now());
   journal_.compact(kCompactBytesPerStep);
   sync();
   set_wake_timer();
@@ -814,7 +810,7 @@
     unrecorded_notices_.push_back(std::move(*notice));
     record_notices();
   } else {
-    record_done(message->second.submission.id);
+    finished_.record_done(message->second.submission.id);
   }
   forget_message(number);
 }
@@ -844,7 +840,7 @@
 }
 
 void Relay::on_reply_confirmed(const std::string& id) {
-  if (noticed_at_once_.erase(id) == 0) record_done(id);
+  if (noticed_at_once_.erase(id) == 0) finished_.record_done(id);
 }
 
 void Relay::on_reply_doubtful(const std::string& id) {
@@ -880,54 +876,9 @@
 
 // An unsafe message that may have been executed must not be sent again, even after a restart.
 void Relay::remember_finished(const OpenMessage& message, FinishedAs how) {
-  const std::string& id = message.submission.id;
-  if (!message.accepted || finished_.find(id)) return;
+  if (!message.accepted) return;
   const bool unsafe = message.attempts > 0 && !may_repeat(message.submission);
-  finished_.add(id, how, unsafe, steady_now());
-  if (unsafe && !save_finished(id, how)) unsaved_finished_[id].how = how;
-}
-
-bool Relay::save_finished(const std::string& id, FinishedAs how) {
-  const auto number = static_cast<int64_t>(++last_finished_number_);
-  return journal_.put_metadata(kFinishedPrefix + id,
-                               std::to_string(how == FinishedAs::kDelivered ? number : -number));
-}
-
-// Tries again for those that the journal did not take. Until it does, no done record is written: after a
-// restart a message without one that may have been executed is not sent.
-void Relay::save_finished_later() {
-  for (auto next = unsaved_finished_.begin(); next != unsaved_finished_.end();) {
-    const auto& [id, unsaved] = *next;
-    if (!save_finished(id, unsaved.how)) return;
-    if (unsaved.done) journal_.record_done(id);
-    next = unsaved_finished_.erase(next);
-  }
-}
-
-void Relay::record_done(const std::string& id) {
-  const auto unsaved = unsaved_finished_.find(id);
-  if (unsaved == unsaved_finished_.end()) return journal_.record_done(id);
-  unsaved->second.done = true;
-}
-
-void Relay::forget_finished(const std::vector<std::string>& ids) {
-  for (const std::string& id : ids) journal_.drop_metadata(kFinishedPrefix + id);
-}
-
-// The times at which they ended are not known: each is remembered for the whole time once more.
-void Relay::restore_finished(const std::map<std::string, std::string>& metadata) {
-  std::map<int64_t, std::pair<std::string, FinishedAs>> in_order;
-  for (const auto& [name, value] : metadata) {
-    if (!name.starts_with(kFinishedPrefix)) continue;
-    const int64_t number = nlohmann::json::parse(value).get<int64_t>();
-    const FinishedAs how = number > 0 ? FinishedAs::kDelivered : FinishedAs::kFailed;
-    in_order[std::abs(number)] = {name.substr(kFinishedPrefix.size()), how};
-  }
-  for (const auto& [number, finished] : in_order) {
-    finished_.add(finished.first, finished.second, true, steady_now());
-    last_finished_number_ = static_cast<uint64_t>(number);
-  }
-  forget_finished(finished_.take_excess());
+  finished_.add(message.submission.id, how, unsafe, steady_now());
 }
 
 void Relay::send_notices() {
--- a/relay/relay.h
+++ b/relay/relay.h
@@ -20,7 +20,7 @@
 #include "config.h"
 #include "directory.h"
 #include "discovery.h"
-#include "finished_messages.h"
+#include "finished_records.h"
 #include "fleet_side.h"
 #include "resources/memory_account.h"
 #include "state/journal.h"
@@ -107,11 +107,6 @@
   void forget_message(uint64_t number);
   bool may_repeat(const Submission& submission) const;
   void remember_finished(const OpenMessage& message, FinishedAs how);
-  bool save_finished(const std::string& id, FinishedAs how);
-  void save_finished_later();
-  void record_done(const std::string& id);
-  void forget_finished(const std::vector<std::string>& ids);
-  void restore_finished(const std::map<std::string, std::string>& metadata);
   void record_notices();
   void send_notices();
   void reply_accepted(uint64_t position, ClientServer::ReplyCallback reply);
@@ -156,13 +151,7 @@
   bool clients_shut_down_ = false;         // client connections are being closed
   std::deque<Notice> unrecorded_notices_;  // not sent yet, as their journal records could not be written
   boost::asio::steady_timer notice_record_timer_;
-  FinishedMessages finished_;
-  uint64_t last_finished_number_ = 0;  // orders the ids in the journal
-  struct UnsavedFinished {
-    FinishedAs how = FinishedAs::kDelivered;
-    bool done = false;  // its done record waits for this
-  };
-  std::map<std::string, UnsavedFinished> unsaved_finished_;  // the journal did not take their ids yet
+  FinishedRecords finished_;
   std::unordered_set<std::string> noticed_at_once_;  // ended provisionally with a notice, no verdict yet
   std::deque<AwaitingSync<ClientServer::ReplyCallback>> unsynced_replies_;
   std::deque<AwaitingSync<Notice>> unsynced_notices_;
