A list that keeps the hosts, or takes no more room, is not refused near the bound

Cause: found as the change was read again. The size ahead of a whole list counted each known host as removed as well, also if the list keeps it, so that above three quarters of the bound a list of the same hosts would be refused. And where the configuration or the folder holds more hosts than fit, each later list was refused, removals too.

Change: known hosts in a whole list no longer count as removed; a list is refused only if it takes more than the bound and more than what is held.

Measured: Directory.TellsItsSizeAheadOfAList failed before and passes; the second by reading, no test. 49 tests of lists, watches, the program and the limits pass, without sanitizers.

--- a/relay/directory.cpp
+++ b/relay/directory.cpp
@@ -192,7 +192,9 @@
   DirectorySize out{hosts_.size(), removed_.size()};
   if (replaces_all) out = {0, hosts_.size() + removed_.size()};
   for (const ListedHost& host : list.hosts) {
-    if (!replaces_all && handles_by_id_.contains(host.id)) continue;
+    const bool known = handles_by_id_.contains(host.id);
+    if (known && !replaces_all) continue;
+    if (known && out.removed > 0) --out.removed;  // it stays, or is counted below
     ++(host.member.state == HostState::kRemoved ? out.removed : out.hosts);
   }
   return out;
--- a/relay/relay.cpp
+++ b/relay/relay.cpp
@@ -412,10 +412,13 @@
   post_event(arrival);
 }
 
-// Throws std::length_error if the list would take more memory than there is for hosts. The former one stays.
+// Throws std::length_error if the list would take more memory than there is for hosts, and more than what is
+// held: a configuration or a folder may hold more, and a list that takes no more is applied. The former one
+// stays.
 void Relay::check_size_of(const HostList& list) {
   const DirectorySize size = directory_.size_after(list);
-  const bool fits = memory_of(size) <= memory_plan_.host_list;
+  const size_t held = memory_of({directory_.hosts().size(), directory_.removed().size()});
+  const bool fits = memory_of(size) <= std::max(memory_plan_.host_list, held);
   if (fits) {
     list_refused_ = false;
     return;
--- a/tests/parts_test.cpp
+++ b/tests/parts_test.cpp
@@ -268,6 +268,8 @@
   expect_size(list(6, false, {"s-2", "s-3"}), 3, 0);
   expect_size(list(6, false, {"s-8", "s-9"}, "left"), 2, 2);
   expect_size(list(6, true, {"s-3"}), 1, 2);
+  expect_size(list(6, true, {"s-1", "s-2"}), 2, 0);
+  expect_size(list(6, true, {"s-2", "s-2", "s-2", "s-2"}), 4, 0);
   expect_size(list(4, true, {"s-1", "s-3"}), 3, 0);
 }
 
