Destinations that have had no host for longest are forgotten before they fill the memory

Destinations now count 1 KiB each with the hosts. Those without a host may take an eighth of that memory; beyond it those without one for longest, and without an open message, are forgotten until half as many are left: the relay drops the record, and the module what it learned of them (event DestinationsForgotten). A submission for one gets the answer of a destination that was never listed.

--- a/include/firspool/policy.h
+++ b/include/firspool/policy.h
@@ -237,9 +237,15 @@
   Time at = 0;
 };
 
-using Event =
-    std::variant<MembersChanged, Arrival, AttemptEnded, ProbeEnded, Withdrawn, TimerFired, PeerMessage,
-                 ShutdownScheduled, DestinationState, TrialAssignment, PeerHealthReport, RetryAfterReceived>;
+// The caller no longer knows these destinations: they have no host and no open message. What was learned of
+// them is dropped.
+struct DestinationsForgotten {
+  std::vector<int> destinations;
+};
+
+using Event = std::variant<MembersChanged, Arrival, AttemptEnded, ProbeEnded, Withdrawn, TimerFired,
+                           PeerMessage, ShutdownScheduled, DestinationState, TrialAssignment,
+                           PeerHealthReport, RetryAfterReceived, DestinationsForgotten>;
 
 // ---- Actions ----
 
--- a/relay/directory.cpp
+++ b/relay/directory.cpp
@@ -90,6 +90,8 @@
 
 // No host is removed before it starts, whatever the wall clock of this machine says.
 void Directory::add_removal(const ListedHost& host, Time wall) {
+  if (const auto it = destinations_.find(host.member.destination); it != destinations_.end())
+    it->second = lists_applied_;
   removed_.try_emplace(host.id, std::max(wall, host.up_since));
 }
 
@@ -104,6 +106,7 @@
   ListedHost& host = hosts_.at(handle);
   host.member.state = HostState::kRemoved;
   changed.push_back(host.member);
+  destinations_[host.member.destination] = lists_applied_;
   handles_by_id_.erase(host.id);
 }
 
@@ -155,7 +158,7 @@
   if (removed) host.member.state = HostState::kRemoved;
   if (!removed) handles_by_address_[host.address] = handle->second;
   changed.push_back(host.member);
-  destinations_.insert(host.member.destination);
+  destinations_[host.member.destination] = lists_applied_;
   if (removed) {
     add_removal(listed, wall);
   } else {
@@ -165,6 +168,7 @@
 
 std::optional<MembersChanged> Directory::apply(const HostList& list, Time wall) {
   const bool is_older = list.revision < revision_;
+  ++lists_applied_;
   revision_ = std::max(revision_, list.revision);
   auto members = std::make_shared<std::vector<Member>>();
   if (list.complete && !is_older) {
@@ -189,14 +193,44 @@
 
 DirectorySize Directory::size_after(const HostList& list) const {
   const bool replaces_all = list.complete && list.revision >= revision_;
-  DirectorySize out{hosts_.size(), removed_.size()};
-  if (replaces_all) out = {0, hosts_.size() + removed_.size()};
+  DirectorySize out = size();
+  if (replaces_all) {
+    out.removed += out.hosts;
+    out.hosts = 0;
+  }
+  std::set<int> new_destinations;
   for (const ListedHost& host : list.hosts) {
     const bool known = handles_by_id_.contains(host.id);
+    const bool may_be_held = known || host.member.state != HostState::kRemoved;
+    if (may_be_held && !is_known(host.member.destination)) new_destinations.insert(host.member.destination);
     if (known && !replaces_all) continue;
     if (known && out.removed > 0) --out.removed;  // it stays, or is counted below
     ++(host.member.state == HostState::kRemoved ? out.removed : out.hosts);
   }
+  out.destinations += new_destinations.size();
+  return out;
+}
+
+std::vector<int> Directory::unused_destinations_after(const HostList& list) const {
+  const bool replaces_all = list.complete && list.revision >= revision_;
+  std::set<int> used;
+  for (const ListedHost& host : list.hosts) used.insert(host.member.destination);
+  if (!replaces_all) {
+    for (const auto& [handle, host] : hosts_) used.insert(host.member.destination);
+  }
+  std::vector<std::pair<uint64_t, int>> unused;
+  for (const auto& [destination, last_listed] : destinations_) {
+    if (!used.contains(destination)) unused.emplace_back(last_listed, destination);
+  }
+  std::sort(unused.begin(), unused.end());
+  std::vector<int> out;
+  for (const auto& [last_listed, destination] : unused) out.push_back(destination);
+  return out;
+}
+
+std::vector<int> Directory::destinations() const {
+  std::vector<int> out;
+  for (const auto& [destination, last_listed] : destinations_) out.push_back(destination);
   return out;
 }
 
--- a/relay/directory.h
+++ b/relay/directory.h
@@ -50,6 +50,7 @@
 struct DirectorySize {
   size_t hosts = 0;
   size_t removed = 0;  // ids alone
+  size_t destinations = 0;
 };
 
 // The known hosts. A handle stands for one host at one place: a host id that is listed with another address,
@@ -60,8 +61,13 @@
   // Applies a list and returns the change for the module, if there is any. An agent may send a list older
   // than the last one: it then may only advance the state of hosts and never restores one.
   std::optional<MembersChanged> apply(const HostList& list, Time wall);
+  DirectorySize size() const { return {hosts_.size(), removed_.size(), destinations_.size()}; }
   // The largest size that it may have once `list` is applied.
   DirectorySize size_after(const HostList& list) const;
+  // Destinations that certainly have no host once `list` is applied. Those that have had none for longest
+  // come first.
+  std::vector<int> unused_destinations_after(const HostList& list) const;
+  void forget_destination(int destination) { destinations_.erase(destination); }
 
   const ListedHost* find(const Endpoint& endpoint) const;
   const ListedHost* find_by_id(const std::string& id) const;
@@ -71,12 +77,12 @@
   // which the first of them started. Each is returned once, after the list that told of the last restart.
   std::map<int, Time> take_cold_destinations(Time wall, Time warm_up);
   bool is_active(const Endpoint& endpoint) const;
-  // Whether the destination has had a host at some time.
+  // Whether the destination has had a host at some time, and is not forgotten.
   bool is_known(int destination) const { return destinations_.contains(destination); }
-  void add_destination(int destination) { destinations_.insert(destination); }
+  void add_destination(int destination) { destinations_.try_emplace(destination); }
   int64_t revision() const { return revision_; }
   const std::map<Endpoint, ListedHost>& hosts() const { return hosts_; }
-  const std::set<int>& destinations() const { return destinations_; }
+  std::vector<int> destinations() const;
   size_t address_count() const { return handles_by_address_.size(); }
 
   // For a removed host without calls in flight. Its id is kept for a while, as older lists may still contain
@@ -107,7 +113,8 @@
   // removed_, unless it started later than complete_at_ (wall clock).
   int64_t complete_at_revision_ = -1;
   Time complete_at_ = 0;
-  std::set<int> destinations_;
+  std::map<int, uint64_t> destinations_;  // with the number of the list that last told of a host
+  uint64_t lists_applied_ = 0;
   std::set<int> restarted_destinations_;  // a host of them was restarted since take_cold_destinations()
 };
 
--- a/relay/relay.cpp
+++ b/relay/relay.cpp
@@ -81,13 +81,16 @@
 constexpr size_t kNoticeBytes = 512;  // the journal's entry and the queue's
 constexpr size_t kHostBytes = 1536;
 constexpr size_t kRemovedHostBytes = 512;
+constexpr size_t kDestinationBytes = 1024;
+// Part of the memory for hosts that destinations without any may take.
+constexpr size_t kUnusedDestinationsDivisor = 8;
 
 size_t memory_of(const Submission& submission) {
   return kMessageBytes + submission.body.size() + 4 * submission.id.size() + submission.key.size();
 }
 
 size_t memory_of(const DirectorySize& size) {
-  return size.hosts * kHostBytes + size.removed * kRemovedHostBytes;
+  return size.hosts * kHostBytes + size.removed * kRemovedHostBytes + size.destinations * kDestinationBytes;
 }
 
 constexpr Time kMemoryInterval = 250 * kMillisecond;
@@ -171,6 +174,7 @@
           [this](const HostList& list) {
             check_size_of(list);
             on_host_list(list);
+            forget_unused_destinations();
           },
           [this] { open_listener(); },
           {{config.settings.list_requires_watch ? config.settings.list_request_interval : 0,
@@ -183,9 +187,7 @@
   if (fleet) {
     FleetAdapter::Hooks hooks;
     hooks.post_event = [this](Event event) { post_event(std::move(event)); };
-    hooks.known_destinations = [this] {
-      return std::vector<int>(directory_.destinations().begin(), directory_.destinations().end());
-    };
+    hooks.known_destinations = [this] { return directory_.destinations(); };
     hooks.open_destinations = [this] {
       std::vector<int> out;
       for (const auto& [number, message] : open_messages_) out.push_back(message.submission.destination);
@@ -414,23 +416,58 @@
 
 // Throws std::length_error if the list would take more memory than there is for hosts, and more than what is
 // held: a configuration or a folder may hold more, and a list that takes no more is applied. The former one
-// stays.
+// stays. Destinations that can be forgotten do not count.
 void Relay::check_size_of(const HostList& list) {
-  const DirectorySize size = directory_.size_after(list);
-  const size_t held = memory_of({directory_.hosts().size(), directory_.removed().size()});
-  const bool fits = memory_of(size) <= std::max(memory_plan_.host_list, held);
+  DirectorySize size = directory_.size_after(list);
+  const size_t limit = std::max(memory_plan_.host_list, memory_of(directory_.size()));
+  if (memory_of(size) > limit) size.destinations -= forgettable_destinations(list).size();
+  const bool fits = memory_of(size) <= limit;
   if (fits) {
     list_refused_ = false;
     return;
   }
   if (!std::exchange(list_refused_, true)) {
-    std::fprintf(stderr, "host list %lld refused: %zu hosts and %zu removed ones take %zu bytes of %zu\n",
-                 static_cast<long long>(list.revision), size.hosts, size.removed, memory_of(size),
-                 memory_plan_.host_list);
+    std::fprintf(
+        stderr,
+        "host list %lld refused: %zu hosts, %zu removed ones and %zu destinations take %zu bytes of %zu\n",
+        static_cast<long long>(list.revision), size.hosts, size.removed, size.destinations, memory_of(size),
+        memory_plan_.host_list);
   }
   throw std::length_error("the host list does not fit into the memory");
 }
 
+// Destinations without a host and an open message once `list` is applied. Those that have had no host for
+// longest come first.
+std::vector<int> Relay::forgettable_destinations(const HostList& list) const {
+  std::set<int> used;
+  for (const auto& [number, message] : open_messages_) used.insert(message.submission.destination);
+  std::vector<int> out = directory_.unused_destinations_after(list);
+  std::erase_if(out, [&](int destination) { return used.contains(destination); });
+  return out;
+}
+
+// Without this, memory would grow with each new destination: hosts may move to ever new ones. Half of those
+// that may be kept stay, so that it is not due again with the next list; fewer if the hosts leave no room.
+void Relay::forget_unused_destinations() {
+  const size_t most = memory_plan_.host_list / kUnusedDestinationsDivisor / kDestinationBytes;
+  const size_t held = memory_of(directory_.size());
+  const size_t excess_bytes = held - std::min(held, memory_plan_.host_list);
+  if (excess_bytes == 0 && directory_.unused_destinations_after({}).size() <= most) return;
+  std::vector<int> forgotten = forgettable_destinations({});
+  size_t count = (excess_bytes + kDestinationBytes - 1) / kDestinationBytes;
+  if (forgotten.size() > most) count = std::max(count, forgotten.size() - most / 2);
+  if (count == 0 || forgotten.empty()) return;
+  forgotten.resize(std::min(count, forgotten.size()));
+  for (const int destination : forgotten) {
+    directory_.forget_destination(destination);
+    journal_.put_metadata(kDestinationPrefix + std::to_string(destination), "");
+  }
+  journal_.put_metadata(kDestinationsKey, nlohmann::json(directory_.destinations()).dump());
+  std::fprintf(stderr, "forgot %zu destinations that have had no host for longest; %zu are known\n",
+               forgotten.size(), directory_.size().destinations);
+  post_event(DestinationsForgotten{std::move(forgotten)});
+}
+
 void Relay::on_host_list(const HostList& list) {
   const bool saved = apply_host_list(list);
   // An older whole list leaves the hosts that it does not contain as they are.
@@ -444,7 +481,7 @@
 // that an older list reverts none of them if the process is killed in between.
 bool Relay::apply_host_list(const HostList& list) {
   const Time wall = wall_now();
-  const auto destinations = directory_.destinations().size();
+  const size_t destinations = directory_.size().destinations;
   auto change = directory_.apply(list, wall);
   journal_.put_metadata(kRevisionKey, std::to_string(directory_.revision()));
   for (const std::string& id : directory_.prune_removed(wall)) journal_.put_metadata(kRemovedPrefix + id, "");
@@ -456,7 +493,7 @@
       if (const ListedHost* host = directory_.find(member.endpoint)) hosts_saved_ &= save_host(*host);
       release_removed_host(member.endpoint);
     }
-    if (directory_.destinations().size() != destinations) {
+    if (directory_.size().destinations != destinations) {
       journal_.put_metadata(kDestinationsKey, nlohmann::json(directory_.destinations()).dump());
     }
     std::erase_if(route_retry_at_, [now = steady_now()](const auto& wait) { return wait.second <= now; });
@@ -786,7 +823,7 @@
   using umberhoist::resources::MemoryUse;
   memory_.set(MemoryUse::kCalls, upstream_.in_flight() * umberhoist::resources::kCallBytes);
   memory_.set(MemoryUse::kFinishedMessages, finished_.memory_bytes());
-  memory_.set(MemoryUse::kHostList, memory_of({directory_.hosts().size(), directory_.removed().size()}));
+  memory_.set(MemoryUse::kHostList, memory_of(directory_.size()));
   const size_t ending = journal_.live_messages() - std::min(journal_.live_messages(), open_messages_.size());
   memory_.set(MemoryUse::kNotices, ending * kNoticeBytes);
   const auto heap = ::mallinfo2();
--- a/relay/relay.h
+++ b/relay/relay.h
@@ -87,6 +87,8 @@
   std::string busy_reply(size_t bytes);
   void submit(Submission submission, ClientServer::ReplyCallback reply);
   void check_size_of(const HostList& list);
+  std::vector<int> forgettable_destinations(const HostList& list) const;
+  void forget_unused_destinations();
   void on_host_list(const HostList& list);
   Upstream::StartDecision may_start(const Call& call);
   bool may_probe(const Endpoint& endpoint);
--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -228,6 +228,22 @@
     log(route, "back, cold, as another relay saw");
   }
 
+  // A destination with a call or probe in flight stays.
+  void handle(const DestinationsForgotten& e) {
+    erase_removed_hosts();
+    for (const int destination : e.destinations) {
+      const auto hosts = hosts_by_destination_.find(destination);
+      if (hosts != hosts_by_destination_.end()) {
+        if (!hosts->second.empty()) continue;
+        hosts_by_destination_.erase(hosts);
+      }
+      const RouteKey key = {destination, Endpoint{}};
+      monitored_routes_.erase(key);
+      routes_.erase(key);
+      destinations_.erase(destination);
+    }
+  }
+
   void handle(const ProbeEnded& e) {
     const auto it = hosts_.find(e.endpoint);
     if (it == hosts_.end()) return;
--- a/tests/parts_test.cpp
+++ b/tests/parts_test.cpp
@@ -273,6 +273,30 @@
   expect_size(list(4, true, {"s-1", "s-3"}), 3, 0);
 }
 
+TEST(Directory, TellsWhichDestinationsAreUnusedAfterAList) {
+  const ListNames names{{"a"}, {"std"}};
+  Directory directory;
+  const auto list = [&](int revision, bool complete, const std::string& id, int destination,
+                        const std::string& phase = "active") {
+    const auto member = testing::member_json(id, "127.0.0.1:80", destination, phase);
+    return parse_list(testing::list_json(revision, complete, {member}), names);
+  };
+  directory.add_destination(9);  // known from the folder, without a host
+  directory.apply(list(1, true, "s-1", 7), 1);
+  directory.apply(list(2, true, "s-1", 8), 2);  // moves
+  directory.apply(list(3, true, "s-1", 5), 3);
+  directory.apply(list(4, true, "s-1", 5), 4);
+  EXPECT_EQ(directory.size_after(list(5, true, "s-1", 3)).destinations, 5u);
+  EXPECT_EQ(directory.size_after(list(5, true, "s-1", 7)).destinations, 4u);
+  EXPECT_EQ(directory.size_after(list(5, false, "s-2", 3, "left")).destinations, 4u);
+  EXPECT_TRUE(directory.unused_destinations_after(list(5, false, "s-2", 9)).empty());  // calls may be out
+  EXPECT_EQ(directory.unused_destinations_after(list(5, true, "s-1", 3)), (std::vector<int>{9, 7, 8, 5}));
+  EXPECT_EQ(directory.unused_destinations_after(list(5, true, "s-1", 7)), (std::vector<int>{9, 8, 5}));
+  directory.forget_destination(7);
+  EXPECT_FALSE(directory.is_known(7));
+  EXPECT_EQ(directory.destinations(), (std::vector<int>{5, 8, 9}));
+}
+
 TEST(Directory, KeepsNoAddressOfAHostThatLeftUnderAnother) {
   const ListNames names{{"a"}, {"std"}};
   Directory directory;
--- a/tests/policy_test.cpp
+++ b/tests/policy_test.cpp
@@ -383,6 +383,34 @@
   }
 };
 
+TEST(ForgottenDestinations, StartAnewWhenTheyAreListedAgain) {
+  using Form = MembersChanged::Form;
+  Relay relay(basic_settings());
+  uint64_t id = 0;
+  const Time start = warm_up(relay, id);
+  FailingPeriod failing{relay, id};
+  failing.run(start, start + 6 * kSecond, Outcome::kConnectFailed, true);
+  ASSERT_TRUE(failing.outage_seen);
+  const Time all_ended = start + 40 * kSecond;
+  failing.run(start + 6 * kSecond, all_ended, Outcome::kConnectFailed, false);
+  relay.step(all_ended,
+             {members({member(1, 1, 0, HostState::kRemoved)}, Form::kDelta), DestinationsForgotten{{1}}});
+  std::vector<Event> events = {members({member(2)}, Form::kDelta)};
+  for (int i = 0; i < 5; ++i) events.push_back(relay.message(++id, all_ended + 1));
+  EXPECT_EQ(all_of<Send>(relay.step(all_ended + 1, events)).size(), 5u);
+}
+
+TEST(ForgottenDestinations, StayWhileACallIsInFlight) {
+  using Form = MembersChanged::Form;
+  Relay relay(basic_settings());
+  const auto sends = all_of<Send>(relay.step(0, {members({member(1)}), relay.message(1, 0)}));
+  ASSERT_EQ(sends.size(), 1u);
+  relay.step(1000,
+             {members({member(1, 1, 0, HostState::kRemoved)}, Form::kDelta), DestinationsForgotten{{1, 2}}});
+  relay.step(2000, {ended(sends[0], 0, Outcome::kTimeout), members({member(3)}, Form::kDelta)});
+  EXPECT_EQ(all_of<Send>(relay.run_idle(3000, kSecond, 10'000)).size(), 1u);  // the retry, at the new host
+}
+
 // Guards against relays that forget an outage when the list replaces the hosts that failed: a destination may
 // be out, be replaced, and come back cold. Of the messages that wait, and twenty more, one is sent as a trial
 // call, and the others within the slow start's budget.
--- a/tests/resources/memory_limit_test.cpp
+++ b/tests/resources/memory_limit_test.cpp
@@ -46,15 +46,16 @@
   void expect_within_limit() const { EXPECT_LE(memory(), static_cast<size_t>(GetParam()) * 1'000'000); }
 
   // Of other destinations, each at an address of its own.
-  static std::vector<nlohmann::json> unused_members(int count) {
+  static std::vector<nlohmann::json> unused_members(int count, int first_cell = 0) {
     constexpr int kHostsPerNet = 250;
-    constexpr int kFirstCell = 100;
+    constexpr int kReservedCells = 100;
     constexpr int kCells = 1000;
     std::vector<nlohmann::json> members;
     for (int i = 0; i < count; ++i) {
       const std::string address =
           "127.1." + std::to_string(i / kHostsPerNet) + "." + std::to_string(i % kHostsPerNet) + ":9";
-      members.push_back(member_json("unused" + std::to_string(i), address, kFirstCell + i % kCells));
+      members.push_back(
+          member_json("unused" + std::to_string(i), address, kReservedCells + first_cell + i % kCells));
     }
     return members;
   }
@@ -76,6 +77,19 @@
     }
   }
 
+  // The list that names the host may be on its way, and the memory may still be taken.
+  void expect_served(const std::string& id, int destination, FakeHost& host) {
+    const auto deadline = steady_clock::now() + std::chrono::seconds(10);
+    std::string answer;
+    do {
+      Socket client = relay_->client();
+      client.send(put_command(id, "c=safe,d=60000,dest=" + std::to_string(destination)));
+      answer = client.read_line();
+    } while (answer != "+OK" && steady_clock::now() < deadline);
+    EXPECT_EQ(answer, "+OK");
+    EXPECT_TRUE(host.next_request().request_line.starts_with("POST"));
+  }
+
   FakeHost host_;  // accepts no connection: calls hang
   FakeDiscovery discovery_;
   nlohmann::json config_ = config_json(discovery_.address(), {member_json("s-1", host_.address(), 7)});
@@ -152,10 +166,31 @@
   }
   FakeHost later;
   discovery_.replace_lists(list_json(++revision, true, {member_json("s-2", later.address(), 7)}));
-  Socket client = relay_->client();
-  client.send(put_command("after", attributes()));
-  EXPECT_EQ(client.read_line(), "+OK");
-  EXPECT_TRUE(later.next_request().request_line.starts_with("POST"));
+  expect_served("after", 7, later);
+  expect_within_limit();
+}
+
+TEST_P(MemoryLimit, IsKeptUnderHostsThatMoveToEverNewDestinations) {
+  constexpr int kLists = 150;
+  constexpr int kMovingHosts = 400;
+  int revision = 1;
+  for (int list = 0; list < kLists; ++list) {
+    std::vector<nlohmann::json> members = {member_json("s-1", host_.address(), 7)};
+    for (nlohmann::json& member : unused_members(kMovingHosts, list * kMovingHosts))
+      members.push_back(std::move(member));
+    discovery_.replace_lists(list_json(++revision, true, members));
+    ASSERT_TRUE(discovery_.await_sending());
+    expect_answers(1);
+  }
+  expect_within_limit();
+  const int first_destination = 100;
+  FakeHost later;
+  discovery_.replace_lists(
+      list_json(++revision, true, {member_json("s-2", later.address(), first_destination)}));
+  ASSERT_TRUE(discovery_.await_sending());
+  expect_served("after", first_destination, later);
+  relay_->kill();
+  relay_->start_planted(UMBERHOIST_UNSANITIZED, "");
   expect_within_limit();
 }
 
