A refused request for the host list is repeated within the 6 s a change may take

Cause: WatchScheduler spread all requests after a refusal over two to four request intervals. A refusal at once costs discovery nothing, so that it need not be waited out.

Change: the request after one that was refused at once follows 3.6 to 4.5 s after it. Only a refusal after 1.75 s or more counts as overload, and is followed by the spread: up to one interval, then two to four.

--- a/members/ask_pace.cpp
+++ b/members/ask_pace.cpp
@@ -4,28 +4,44 @@
 
 namespace umberhoist::members {
 
-Time WatchScheduler::random_delay(Time span) {
-  const Time others = span / options_.relays * (options_.relays - 1);
-  return std::uniform_int_distribution<Time>(0, others)(random_);
+Time WatchScheduler::random_delay(Time min, Time max) {
+  const auto without_own_part = [&](Time span) { return span / options_.relays * (options_.relays - 1); };
+  return std::uniform_int_distribution<Time>(without_own_part(min), without_own_part(max))(random_);
 }
 
 Time WatchScheduler::initial_delay(bool list_known) {
-  return is_paced() && list_known ? random_delay(options_.request_interval) : 0;
+  return is_paced() && list_known ? random_delay(0, options_.request_interval) : 0;
 }
 
-Time WatchScheduler::retry_delay(WatchEnd end) {
+Time WatchScheduler::retry_delay(WatchEnd end, Time waited) {
   const Time min_delay = retry_delay_;
   retry_delay_ = std::min(2 * retry_delay_, kMaxRetryDelay);
-  if (!is_paced()) return min_delay;
-  Time span = std::min(options_.request_interval, kMaxSpan);
-  if (end == WatchEnd::kBroken) {
-    refused_span_ = 0;
-    span = std::min(options_.request_interval, kBrokenWatchSpan);
-  } else if (end == WatchEnd::kRefused) {
-    span = refused_span_ = std::min(2 * std::max(refused_span_, options_.request_interval),
-                                    kMaxRefusedSpans * options_.request_interval);
+  return is_paced() ? std::max(min_delay, paced_delay(end, waited)) : min_delay;
+}
+
+Time WatchScheduler::paced_delay(WatchEnd end, Time waited) {
+  switch (end) {
+    case WatchEnd::kBroken:
+      overload_refusals_ = 0;
+      return random_delay(0, std::min(options_.request_interval, kBrokenWatchSpan));
+    case WatchEnd::kNoResponse:
+      return random_delay(0, std::min(options_.request_interval, kMaxSpan));
+    case WatchEnd::kRefused:
+      return refused_delay(waited);
+  }
+  return 0;
+}
+
+// The next request is made within the time that a change may take, unless discovery is overloaded. Then the
+// requests are spread over one request interval, once its queue has had time to empty, and later over two.
+Time WatchScheduler::refused_delay(Time waited) {
+  const Time interval = options_.request_interval;
+  if (waited >= kOverloadRefusalTime || overload_refusals_ > 0) {
+    const bool is_first = overload_refusals_++ == 0;
+    return is_first ? random_delay(std::min(kMaxRequestGap, interval), interval)
+                    : random_delay(2 * interval, 4 * interval);
   }
-  return std::max(min_delay, random_delay(span));
+  return random_delay(std::min(kMinRefusedGap, interval), std::min(kMaxRequestGap, interval)) - waited;
 }
 
 }  // namespace umberhoist::members
--- a/members/ask_pace.h
+++ b/members/ask_pace.h
@@ -8,8 +8,8 @@
 //
 // Where changes are pushed, a request costs nothing and is made at once. Where each request costs discovery
 // work, all relays share its capacity: if a fleet sends its requests at the same time, discovery's queue
-// fills, replies come after their relays stopped waiting, and as long as each relay retries within seconds no
-// request ever succeeds. So requests are then spread at random ("paced").
+// fills, and what it serves comes after it has given up the request. So requests are then spread at random
+// ("paced"), but over no more time than a change may take, unless discovery shows that it is overloaded.
 #pragma once
 
 #include <cstdint>
@@ -46,8 +46,8 @@
   // for each request may keep it in its queue for 2 s, and the list that it then sends is current.
   Time first_item_timeout() const { return is_paced() ? kPacedFirstItemTimeout : kFirstItemTimeout; }
 
-  // Delay before the next request.
-  Time retry_delay(WatchEnd end);
+  // Delay before the next request. `waited`: time from the last request to its end.
+  Time retry_delay(WatchEnd end, Time waited);
 
   // An item has arrived: resets the backoff.
   void on_item() { retry_delay_ = kMinRetryDelay; }
@@ -62,18 +62,25 @@
   static constexpr Time kBrokenWatchSpan = 2'000'000;
   static constexpr Time kReplyMargin = 600'000;  // left for the reply
   static constexpr Time kMaxSpan = kMaxNotificationDelay - kPacedFirstItemTimeout - kReplyMargin;
-  // A rejected relay spreads its requests over twice `request_interval`, then twice that, up to this many
-  // intervals: there are more requests than discovery can serve, and without this none would be served.
-  static constexpr int kMaxRefusedSpans = 4;
+  // Left for the reply to a request that follows a rejected one.
+  static constexpr Time kReplyTime = 1'500'000;
+  // Longest time from a rejected request to the next, and the part of it that is not random.
+  static constexpr Time kMaxRequestGap = kMaxNotificationDelay - kReplyTime;
+  static constexpr Time kMinRefusedGap = kMaxRequestGap * 4 / 5;
+  // A request that is rejected at once cost discovery nothing. One that is rejected after this time was in
+  // its queue and did: if relays repeat such requests within seconds, the queue stays too long to serve any.
+  static constexpr Time kOverloadRefusalTime = 1'750'000;
 
   bool is_paced() const { return options_.request_interval > 0 && options_.relays > 1; }
-  Time random_delay(Time span);  // uniform at random; 0 for a single relay, which competes with no other
+  Time paced_delay(WatchEnd end, Time waited);
+  Time refused_delay(Time waited);
+  // Uniform at random between these, less the part of this relay: a single relay competes with no other.
+  Time random_delay(Time min, Time max);
 
   WatchScheduleOptions options_;
   std::mt19937_64 random_;
   Time retry_delay_ = kMinRetryDelay;
-  // Span over which the last rejected request was spread; 0: none since a watch was established.
-  Time refused_span_ = 0;
+  int overload_refusals_ = 0;  // rejections since discovery showed an overload; 0: since a watch, none did
 };
 
 }  // namespace umberhoist::members
--- a/relay/discovery.cpp
+++ b/relay/discovery.cpp
@@ -65,6 +65,11 @@
 
   WatchEnd end_reason() const { return end_; }
 
+  // Since the stream was started.
+  Time waited() const {
+    return std::chrono::duration_cast<std::chrono::microseconds>(steady_clock::now() - started_at_).count();
+  }
+
   void close() {
     owner_ = nullptr;
     state_ = State::kEnded;
@@ -136,6 +141,7 @@
   boost::asio::steady_timer timer_;
   // Number of times that timer_ was set: tells an expiry that was already queued before the last time.
   uint64_t timer_generation_ = 0;
+  const steady_clock::time_point started_at_ = steady_clock::now();
   State state_ = State::kConnecting;
   WatchEnd end_ = WatchEnd::kNoResponse;
   http::request<http::empty_body> request_;
@@ -200,7 +206,7 @@
   stream->close();
   if (stream != stream_) return void(std::erase(old_streams_, stream));
   stream_.reset();
-  connect_after(scheduler_.retry_delay(stream->end_reason()));
+  connect_after(scheduler_.retry_delay(stream->end_reason(), stream->waited()));
 }
 
 void DiscoveryWatch::on_list_too_long() {
--- a/tests/members/ask_pace_test.cpp
+++ b/tests/members/ask_pace_test.cpp
@@ -41,7 +41,9 @@
       out.served_by_20_s += answer.at <= 20 * kSecond;
       ++out.served_by_60_s;
     } else {
-      due.push({answer.at + schedulers[static_cast<size_t>(relay)].retry_delay(WatchEnd::kRefused), relay});
+      const Time waited = answer.at - now;
+      auto& scheduler = schedulers[static_cast<size_t>(relay)];
+      due.push({answer.at + scheduler.retry_delay(WatchEnd::kRefused, waited), relay});
     }
   }
   return out;
@@ -74,16 +76,16 @@
   WatchScheduler scheduler({0, 100}, 1);
   EXPECT_EQ(scheduler.initial_delay(true), 0);
   for (const Time expected : {50'000, 100'000, 200'000, 400'000, 500'000, 500'000}) {
-    EXPECT_EQ(scheduler.retry_delay(WatchEnd::kNoResponse), expected);
+    EXPECT_EQ(scheduler.retry_delay(WatchEnd::kNoResponse, scheduler.first_item_timeout()), expected);
   }
   scheduler.on_item();
-  EXPECT_EQ(scheduler.retry_delay(WatchEnd::kBroken), 50'000);
+  EXPECT_EQ(scheduler.retry_delay(WatchEnd::kBroken, 0), 50'000);
 }
 
 TEST(WatchScheduler, OneRelayAloneHasNobodyToWaitFor) {
   WatchScheduler scheduler({kRequestInterval, 1}, 1);
   EXPECT_EQ(scheduler.initial_delay(true), 0);
-  EXPECT_EQ(scheduler.retry_delay(WatchEnd::kRefused), 50'000);
+  EXPECT_EQ(scheduler.retry_delay(WatchEnd::kRefused, 0), 50'000);
 }
 
 TEST(WatchScheduler, ARelayWithoutAListAsksAtOnce) {
@@ -100,11 +102,12 @@
       WatchScheduler scheduler({interval, 100}, seed);
       scheduler.on_item();
       // The watch: its last line, then the silence time-out, then the delay.
-      EXPECT_LT(WatchScheduler::kSilenceTimeout + scheduler.retry_delay(WatchEnd::kBroken) + kReplyTime,
+      EXPECT_LT(WatchScheduler::kSilenceTimeout + scheduler.retry_delay(WatchEnd::kBroken, 0) + kReplyTime,
                 WatchScheduler::kMaxNotificationDelay);
       for (int i = 0; i < 20; ++i) {
         // Discovery is back the moment after a request was sent that gets no reply.
-        EXPECT_LT(scheduler.first_item_timeout() + scheduler.retry_delay(WatchEnd::kNoResponse) + kReplyTime,
+        const Time waited = scheduler.first_item_timeout();
+        EXPECT_LT(waited + scheduler.retry_delay(WatchEnd::kNoResponse, waited) + kReplyTime,
                   WatchScheduler::kMaxNotificationDelay);
       }
     }
@@ -117,24 +120,43 @@
   scheduler.on_item();
   Time passed = WatchScheduler::kSilenceTimeout;
   for (int silent = 0; silent < 2; ++silent) {
-    passed += scheduler.retry_delay(silent == 0 ? WatchEnd::kBroken : WatchEnd::kNoResponse) +
+    passed += scheduler.retry_delay(silent == 0 ? WatchEnd::kBroken : WatchEnd::kNoResponse, passed) +
               scheduler.first_item_timeout();
   }
-  EXPECT_LT(passed + scheduler.retry_delay(WatchEnd::kNoResponse) + kSecond / 2,
+  EXPECT_LT(passed + scheduler.retry_delay(WatchEnd::kNoResponse, passed) + kSecond / 2,
             WatchScheduler::kMaxNotificationDelay);
 }
 
-// After repeated rejections requests are spread over longer and longer spans, up to four request intervals.
+// Fails if a relay that discovery rejected misses a change that discovery could tell it soon after. (It
+// waited for up to 20 s, later 40 s.)
+TEST(WatchScheduler, ARequestThatWasRefusedIsRepeatedWithinTheTimeThatAChangeMayTake) {
+  constexpr Time kReplyTime = kSecond * 3 / 2;
+  for (uint64_t seed = 1; seed <= 200; ++seed) {
+    WatchScheduler scheduler({kRequestInterval, 100}, seed);
+    for (const Time waited : {Time{0}, kSecond / 2, kSecond, kSecond * 3 / 2}) {
+      for (int i = 0; i < 5; ++i) {
+        EXPECT_LE(waited + scheduler.retry_delay(WatchEnd::kRefused, waited) + kReplyTime,
+                  WatchScheduler::kMaxNotificationDelay);
+      }
+    }
+  }
+}
+
+// A request that is rejected only after it was in discovery's queue for long shows an overload. After
+// repeated rejections of that kind requests are spread over longer and longer spans, up to four request
+// intervals.
 TEST(WatchScheduler, NoPauseIsLongerThanFourSpansAndAWatchThatStoodStartsAnew) {
+  constexpr Time kQueueTimeout = 2 * kSecond;
   for (uint64_t seed = 1; seed <= 50; ++seed) {
     WatchScheduler scheduler({kRequestInterval, 100}, seed);
     EXPECT_LE(scheduler.initial_delay(true), kRequestInterval);
-    EXPECT_LE(scheduler.retry_delay(WatchEnd::kRefused), 2 * kRequestInterval);
+    EXPECT_LE(scheduler.retry_delay(WatchEnd::kRefused, kQueueTimeout), 2 * kRequestInterval);
     for (int i = 0; i < 20; ++i) {
-      EXPECT_LE(scheduler.retry_delay(WatchEnd::kRefused), 4 * kRequestInterval);
+      EXPECT_LE(scheduler.retry_delay(WatchEnd::kRefused, i % 2 * kQueueTimeout), 4 * kRequestInterval);
       scheduler.on_item();  // an item alone does not show that discovery accepted the request
     }
-    EXPECT_LE(scheduler.retry_delay(WatchEnd::kBroken), 2 * kSecond);
+    EXPECT_LE(scheduler.retry_delay(WatchEnd::kBroken, 0), 2 * kSecond);
+    EXPECT_LE(scheduler.retry_delay(WatchEnd::kRefused, 0), kRequestInterval / 2);
   }
 }
 
--- a/tests/watch_test.cpp
+++ b/tests/watch_test.cpp
@@ -16,6 +16,8 @@
 using testing::Socket;
 
 constexpr Time kMaxNotificationDelay = 6'000'000;
+// Of a fleet whose requests cost discovery work.
+constexpr umberhoist::members::WatchScheduleOptions kPacedSchedule = {10'000'000, 100};
 
 std::string chunk(const std::string& text) {
   char size[16];
@@ -56,7 +58,7 @@
           if (revisions_.empty()) first = steady_now();
           revisions_.push_back(list.revision);
         },
-        [] {}, {{}, 1}, kMaxListBytes, true);
+        [] {}, {schedule_, schedule_seed_}, kMaxListBytes, true);
     watch_ = &watch;
     watch.start();
     while (revisions_.empty() || revisions_.back() != revision) io_.run_one();
@@ -67,6 +69,8 @@
   boost::asio::io_context io_;
   Socket listener_ = Socket::listen();
   DiscoveryWatch* watch_ = nullptr;
+  umberhoist::members::WatchScheduleOptions schedule_;
+  uint64_t schedule_seed_ = 1;
   std::vector<int64_t> revisions_;
 };
 
@@ -150,6 +154,23 @@
   EXPECT_LT(took, 2'000'000);
 }
 
+// Fails if a relay that discovery rejected waits longer for its next request than a change may take. (It
+// waited for up to twice the request interval.)
+TEST_F(WatchTest, ARequestThatWasRefusedIsRepeatedWithinTheTimeThatAChangeMayTake) {
+  schedule_ = kPacedSchedule;
+  schedule_seed_ = 4;
+  Time refused_at = 0, asked_again_at = 0;
+  run_until_revision(
+      [&] {
+        Socket first = accept_watch("HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n");
+        refused_at = steady_now();
+        const Socket second = accept_watch(kHead + chunk(list_text(1)));
+        asked_again_at = steady_now();
+      },
+      1);
+  EXPECT_LT(asked_again_at - refused_at, kMaxNotificationDelay);
+}
+
 // Down for as long as the longest outage that operators allow for: many requests get no reply, and once it is
 // back its list holds all changes made meanwhile.
 TEST_F(WatchTest, AnAgentThatReturnsAfterEightSecondsIsHeardSoon) {
