One refused request for the host list leaves time for another within 6 s

Cause: a first request may be made 4.5 s after a start, and one after a broken watch 4.5 s after its last line.

Change: the request after the first refusal follows 1 to 1.5 s after it, in the time that was kept for the reply. Those after further refusals follow as before.

Measured: OneRefusalDoesNotMakeARelayLate failed before and passes. The tests with an overbooked directory pass unchanged.

--- a/members/ask_pace.cpp
+++ b/members/ask_pace.cpp
@@ -22,7 +22,7 @@
 Time WatchScheduler::paced_delay(WatchEnd end, Time waited) {
   switch (end) {
     case WatchEnd::kBroken:
-      overload_refusals_ = 0;
+      refusals_ = overload_refusals_ = 0;
       return random_delay(0, std::min(options_.request_interval, kBrokenWatchSpan));
     case WatchEnd::kNoResponse:
       return random_delay(0, std::min(options_.request_interval, kNoResponseSpan));
@@ -32,16 +32,23 @@
   return 0;
 }
 
-// The next request is made within the time that a change may take, unless discovery is overloaded. Then the
-// requests are spread over one request interval, once its queue has had time to empty, and later over two.
+// The next request is made within the time that a change may take, unless discovery is overloaded.
 Time WatchScheduler::refused_delay(Time waited) {
+  const bool is_first = refusals_++ == 0;
+  if (waited >= kOverloadRefusalTime || overload_refusals_ > 0) return overloaded_delay();
   const Time interval = options_.request_interval;
-  if (waited >= kOverloadRefusalTime || overload_refusals_ > 0) {
-    const bool is_first = overload_refusals_++ == 0;
-    return is_first ? random_delay(std::min(kMaxRequestGap, interval), interval)
-                    : random_delay(2 * interval, 4 * interval);
-  }
-  return random_delay(std::min(kMinRefusedGap, interval), std::min(kMaxRequestGap, interval)) - waited;
+  const Time min_gap = std::min(is_first ? kMinFirstRefusedGap : kMinRefusedGap, interval);
+  const Time max_gap = std::min(is_first ? kReplyTime : kMaxRequestGap, interval);
+  return random_delay(min_gap, max_gap) - waited;
+}
+
+// Requests are spread over one request interval, once discovery's queue has had time to empty, and later over
+// two.
+Time WatchScheduler::overloaded_delay() {
+  const Time interval = options_.request_interval;
+  const bool is_first = overload_refusals_++ == 0;
+  return is_first ? random_delay(std::min(kMaxRequestGap, interval), interval)
+                  : random_delay(2 * interval, 4 * interval);
 }
 
 }  // namespace umberhoist::members
--- a/members/ask_pace.h
+++ b/members/ask_pace.h
@@ -64,8 +64,10 @@
   // passed already, and after a request without a reply.
   static constexpr Time kBrokenWatchSpan = kMaxRequestGap - kSilenceTimeout;
   static constexpr Time kNoResponseSpan = kMaxRequestGap - kPacedFirstItemTimeout;
-  // Shortest time from a rejected request to the next.
+  // Shortest time from a request that was rejected once more to the next.
   static constexpr Time kMinRefusedGap = kMaxRequestGap * 4 / 5;
+  // The same after the first rejection: it leaves what was kept for the reply.
+  static constexpr Time kMinFirstRefusedGap = kReplyTime * 2 / 3;
   // A request that is rejected at once cost discovery nothing. One that is rejected after this time was in
   // its queue and did: if relays repeat such requests within seconds, the queue stays too long to serve any.
   static constexpr Time kOverloadRefusalTime = 1'750'000;
@@ -73,13 +75,16 @@
   bool is_paced() const { return options_.request_interval > 0 && options_.relays > 1; }
   Time paced_delay(WatchEnd end, Time waited);
   Time refused_delay(Time waited);
+  Time overloaded_delay();
   // Uniform at random between these, less the part of this relay: a single relay competes with no other.
   Time random_delay(Time min, Time max);
 
   WatchScheduleOptions options_;
   std::mt19937_64 random_;
   Time retry_delay_ = kMinRetryDelay;
-  int overload_refusals_ = 0;  // rejections since discovery showed an overload; 0: since a watch, none did
+  // Since a watch was established, or the scheduler is new.
+  int refusals_ = 0;
+  int overload_refusals_ = 0;  // of these, the first that showed an overload and those after it
 };
 
 }  // namespace umberhoist::members
--- a/tests/members/ask_pace_test.cpp
+++ b/tests/members/ask_pace_test.cpp
@@ -154,6 +154,21 @@
   }
 }
 
+// Fails if one rejection makes a relay late: a first request that is rejected at once, or one that replaces a
+// broken watch, leaves time for another. (It was followed by one 3.6 to 4.5 s later.)
+TEST(WatchScheduler, OneRefusalDoesNotMakeARelayLate) {
+  for (uint64_t seed = 1; seed <= 200; ++seed) {
+    WatchScheduler starting({kRequestInterval, 100}, seed);
+    EXPECT_LE(starting.initial_delay(true) + starting.retry_delay(WatchEnd::kRefused, 0),
+              WatchScheduler::kMaxNotificationDelay);
+    WatchScheduler following({kRequestInterval, 100}, seed);
+    following.on_item();
+    EXPECT_LE(WatchScheduler::kSilenceTimeout + following.retry_delay(WatchEnd::kBroken, 0) +
+                  following.retry_delay(WatchEnd::kRefused, 0),
+              WatchScheduler::kMaxNotificationDelay);
+  }
+}
+
 // A request that is rejected only after it was in discovery's queue for long shows an overload. After
 // repeated rejections of that kind requests are spread over longer and longer spans, up to four request
 // intervals.
