Configurations in a row no longer put the request for the host list off

Cause: DiscoveryWatch::set_address cancelled the request that was due and drew a new delay.

Change: a request that is due earlier than the new delay is made when it was due, to the new address. What the scheduler learned of the former discovery (rejections, overload) ends with its address.

--- a/members/ask_pace.cpp
+++ b/members/ask_pace.cpp
@@ -13,6 +13,11 @@
   return is_paced() && list_known ? random_delay(0, std::min(options_.request_interval, kMaxRequestGap)) : 0;
 }
 
+void WatchScheduler::on_address_changed() {
+  on_item();
+  refusals_ = overload_refusals_ = 0;
+}
+
 Time WatchScheduler::retry_delay(WatchEnd end, Time waited) {
   const Time min_delay = retry_delay_;
   retry_delay_ = std::min(2 * retry_delay_, kMaxRetryDelay);
--- a/members/ask_pace.h
+++ b/members/ask_pace.h
@@ -49,6 +49,9 @@
   // Delay before the next request. `waited`: time from the last request to its end.
   Time retry_delay(WatchEnd end, Time waited);
 
+  // What was learned of the former discovery does not hold for the one at a new address.
+  void on_address_changed();
+
   // An item has arrived: resets the backoff.
   void on_item() { retry_delay_ = kMinRetryDelay; }
 
--- a/relay/discovery.cpp
+++ b/relay/discovery.cpp
@@ -2,6 +2,7 @@
 
 #include <cmath>
 #include <cstdio>
+#include <limits>
 #include <nlohmann/json.hpp>
 #include <utility>
 
@@ -19,6 +20,7 @@
 
 constexpr milliseconds kMinRetryDelay{50};
 constexpr size_t kMaxOldStreams = 2;
+constexpr Time kNever = std::numeric_limits<Time>::max();
 // The agent is on this machine and replies at once. A notice may be up to 300 ms late, so that a second
 // attempt is still in time.
 constexpr milliseconds kPostTimeout{150};  // for the connection, and at first for the reply
@@ -165,10 +167,7 @@
       list_known_(list_known),
       retry_timer_(io) {}
 
-void DiscoveryWatch::start() {
-  const Time delay = scheduler_.initial_delay(list_known_);
-  delay > 0 ? connect_after(delay) : connect();
-}
+void DiscoveryWatch::start() { connect_after(scheduler_.initial_delay(list_known_)); }
 
 DiscoveryWatch::~DiscoveryWatch() {
   if (stream_) stream_->close();
@@ -178,25 +177,34 @@
 void DiscoveryWatch::set_address(const tcp::endpoint& address) {
   if (address == address_) return;
   address_ = address;
+  const Time pending_delay = stream_ ? kNever : time_until_retry();
   if (stream_) old_streams_.push_back(std::exchange(stream_, nullptr));
   if (old_streams_.size() > kMaxOldStreams) {
     old_streams_.front()->close();
     old_streams_.erase(old_streams_.begin());
   }
-  retry_timer_.cancel();
-  scheduler_.on_item();
+  scheduler_.on_address_changed();
   // All relays get the new address at the same moment, as at a start.
-  const Time delay = scheduler_.initial_delay(true);
-  delay > 0 ? connect_after(delay) : connect();
+  connect_after(std::min(scheduler_.initial_delay(true), pending_delay));
 }
 
 void DiscoveryWatch::connect_after(Time delay) {
+  if (delay <= 0) {
+    retry_timer_.cancel();
+    return connect();
+  }
   retry_timer_.expires_after(std::chrono::microseconds(delay));
   retry_timer_.async_wait([this](const Error& error) {
     if (!error && !stream_) connect();
   });
 }
 
+// Of a request that is scheduled.
+Time DiscoveryWatch::time_until_retry() const {
+  const auto left = retry_timer_.expiry() - steady_clock::now();
+  return std::chrono::duration_cast<std::chrono::microseconds>(left).count();
+}
+
 void DiscoveryWatch::connect() {
   stream_ = std::make_shared<Stream>(*this);
   stream_->start(get_revision_());
--- a/relay/discovery.h
+++ b/relay/discovery.h
@@ -46,6 +46,7 @@
 
   void connect();
   void connect_after(Time delay);
+  Time time_until_retry() const;
   void on_stream_ended(const std::shared_ptr<Stream>& stream);
   void on_list_too_long();
   bool handle_item(const std::string& list);  // an empty item is a keep-alive; false: malformed list
--- a/tests/watch_test.cpp
+++ b/tests/watch_test.cpp
@@ -174,6 +174,36 @@
   EXPECT_LT(steady_now() - moved_at, kMaxNotificationDelay);
 }
 
+// Fails if each of several configurations in a row puts the request off anew.
+TEST_F(WatchTest, ADiscoveryThatMovesAgainAndAgainIsAskedWithinTheTimeThatAChangeMayTake) {
+  constexpr int kMoves = 14;
+  constexpr int kMoveIntervalMs = 500;
+  schedule_ = kPacedSchedule;
+  schedule_seed_ = 60;  // each request would be made over 1 s after the move that schedules it
+  const Socket addresses[] = {Socket::listen(), Socket::listen()};
+  Time moved_at = 0, asked_at = 0;
+  run_until_revision(
+      [&] {
+        const Socket first = accept_watch(kHead + chunk(list_text(1)));
+        moved_at = steady_now();
+        pollfd requests[] = {{addresses[0].fd(), POLLIN, 0}, {addresses[1].fd(), POLLIN, 0}};
+        for (int i = 0; i < kMoves && asked_at == 0; ++i) {
+          boost::asio::post(io_, [&, port = addresses[i % 2].port()] {
+            watch_->set_address({boost::asio::ip::address_v4::loopback(), port});
+          });
+          if (::poll(requests, 2, kMoveIntervalMs) > 0) asked_at = steady_now();
+        }
+        if (asked_at == 0) {
+          ASSERT_GT(::poll(requests, 2, testing::kDeadlineMs), 0);
+          asked_at = steady_now();
+        }
+        const Socket& asked = addresses[requests[0].revents == 0 ? 1 : 0];
+        const Socket second = accept_watch(asked, kHead + chunk(list_text(2)));
+      },
+      2);
+  EXPECT_LT(asked_at - moved_at, kMaxNotificationDelay);
+}
+
 // Fails if a relay that discovery rejected waits longer for its next request than a change may take. (It
 // waited for up to twice the request interval.)
 TEST_F(WatchTest, ARequestThatWasRefusedIsRepeatedWithinTheTimeThatAChangeMayTake) {
