The log tells when discovery is silent or refuses, and when it is heard again

Change: one line for the first failure since the last item (`discovery at ADDRESS: a request got no reply after 1000 ms`; `was refused`; `the watch broke`), and one with the time that passed once an item comes.

Measured: nothing; the lines change no behaviour.

--- a/relay/discovery.cpp
+++ b/relay/discovery.cpp
@@ -20,6 +20,7 @@
 
 constexpr milliseconds kMinRetryDelay{50};
 constexpr size_t kMaxOldStreams = 2;
+constexpr Time kMillisecond = 1000;
 constexpr Time kNever = std::numeric_limits<Time>::max();
 // The agent is on this machine and replies at once. A notice may be up to 300 ms late, so that a second
 // attempt is still in time.
@@ -213,10 +214,31 @@
 void DiscoveryWatch::on_stream_ended(const std::shared_ptr<Stream>& stream) {
   stream->close();
   if (stream != stream_) return void(std::erase(old_streams_, stream));
+  log_trouble(*stream);
   stream_.reset();
   connect_after(scheduler_.retry_delay(stream->end_reason(), stream->waited()));
 }
 
+// One line for each series of failures.
+void DiscoveryWatch::log_trouble(const Stream& stream) {
+  if (trouble_since_) return;
+  trouble_since_ = steady_clock::now();
+  const char* what = "the watch broke";
+  if (stream.end_reason() == WatchEnd::kNoResponse) what = "a request got no reply";
+  if (stream.end_reason() == WatchEnd::kRefused) what = "a request was refused";
+  std::fprintf(stderr, "discovery at %s:%u: %s after %lld ms\n", address_.address().to_string().c_str(),
+               address_.port(), what, static_cast<long long>(stream.waited() / kMillisecond));
+}
+
+void DiscoveryWatch::log_recovery() {
+  if (!trouble_since_) return;
+  const auto silent = std::chrono::duration_cast<milliseconds>(steady_clock::now() - *trouble_since_);
+  std::fprintf(stderr, "discovery at %s:%u: heard again after %lld ms\n",
+               address_.address().to_string().c_str(), address_.port(),
+               static_cast<long long>(silent.count()));
+  trouble_since_.reset();
+}
+
 void DiscoveryWatch::on_list_too_long() {
   if (std::exchange(too_long_logged_, true)) return;
   std::fprintf(stderr, "host list refused: longer than %zu bytes\n", max_list_bytes_);
@@ -232,6 +254,7 @@
     return false;
   }
   scheduler_.on_item();
+  log_recovery();
   on_item_();
   return true;
 }
--- a/relay/discovery.h
+++ b/relay/discovery.h
@@ -48,6 +48,8 @@
   void connect_after(Time delay);
   Time time_until_retry() const;
   void on_stream_ended(const std::shared_ptr<Stream>& stream);
+  void log_trouble(const Stream& stream);
+  void log_recovery();
   void on_list_too_long();
   bool handle_item(const std::string& list);  // an empty item is a keep-alive; false: malformed list
 
@@ -62,6 +64,7 @@
   bool too_long_logged_ = false;  // and no list was accepted since
   bool list_known_;
   boost::asio::steady_timer retry_timer_;
+  std::optional<std::chrono::steady_clock::time_point> trouble_since_;  // logged, and no item came since
   std::shared_ptr<Stream> stream_;
   std::vector<std::shared_ptr<Stream>> old_streams_;  // to former addresses, until they end
 };
