A silent watch stays open beside the next one, so that a slow discovery is heard

Cause: DiscoveryWatch::Stream closed a request that had no reply after 1 s (2.5 s where lists are asked for), or a watch without a line for 2.75 s, and asked anew. Discovery's record and the relay's new log line show each request given up before its answer, for ever. The same at a start, after a SIGHUP, and for a watch that fell silent, with both ways of discovery.

Change: such a stream is overdue. Another request is made as before, and the overdue one stays open (four at most, 30 s at most; the oldest is kept) until any of them brings an item, which makes it the watch and closes the others. Memory for parts of lists is bounded as before, by three of the greatest size.

Why it works: a lost request is repeated as early as before, and an answer counts whenever it comes.

--- a/members/list_words.h
+++ b/members/list_words.h
@@ -30,6 +30,7 @@
 
   void feed(std::string_view bytes) { bytes_ += bytes; }
   Item next();
+  size_t buffered_bytes() const { return bytes_.size(); }  // of an item that is not complete
 
  private:
   Item take_item(ItemKind kind);
--- a/relay/discovery.cpp
+++ b/relay/discovery.cpp
@@ -1,5 +1,6 @@
 #include "discovery.h"
 
+#include <algorithm>
 #include <cmath>
 #include <cstdio>
 #include <limits>
@@ -20,6 +21,10 @@
 
 constexpr milliseconds kMinRetryDelay{50};
 constexpr size_t kMaxOldStreams = 2;
+constexpr size_t kMaxOverdueStreams = 4;
+constexpr Time kMaxOverdueTime = 30'000'000;  // after which an overdue stream is taken for dead
+// Lists that may be held in part at once, of the greatest size, by all streams.
+constexpr size_t kMaxBufferedLists = 3;
 constexpr Time kMillisecond = 1000;
 constexpr Time kNever = std::numeric_limits<Time>::max();
 // The agent is on this machine and replies at once. A notice may be up to 300 ms late, so that a second
@@ -37,7 +42,8 @@
 //   kConnecting  until the connection is established and the request written
 //   kRequested   until the first item; a header with status 200 alone proves nothing
 //   kFollowing   each item has to be followed by the next within the silence time-out
-//   kEnded       after the end of the stream, silence, malformed input, or close() by the owner
+//   kEnded       after the end of the stream, long silence, malformed input, or close() by the owner
+// A stream whose time-out has passed is overdue, and tells its owner. The next item makes it a healthy one.
 // An end before kFollowing is kNoResponse, or kRefused if the status says so; one after it is kBroken.
 class DiscoveryWatch::Stream : public std::enable_shared_from_this<Stream> {
  public:
@@ -67,6 +73,7 @@
   }
 
   WatchEnd end_reason() const { return end_; }
+  size_t buffered_bytes() const { return list_parser_.buffered_bytes(); }
 
   // Since the stream was started.
   Time waited() const {
@@ -108,12 +115,13 @@
           return self->end();
         }
         self->on_item();
-        const bool readable = self->owner_->handle_item(item.text);
+        const bool readable = self->owner_->handle_item(self, item.text);
         if (self->owner_ == nullptr) return;
         if (!readable) return self->end();
       }
       if (error || self->parser_.is_done()) return self->end();
-      self->read();
+      self->owner_->limit_buffered_lists();
+      if (self->owner_ != nullptr) self->read();
     });
   }
 
@@ -121,15 +129,22 @@
   void on_item() {
     state_ = State::kFollowing;
     end_ = WatchEnd::kBroken;
+    is_overdue_ = false;
     set_timeout(WatchScheduler::kSilenceTimeout);
   }
 
-  // Ends the stream if nothing arrives in time: the agent or the network may fall silent while connecting,
-  // within the header, or on an open connection.
+  void on_timeout() {
+    if (std::exchange(is_overdue_, true) || owner_ == nullptr) return end();
+    set_timeout(kMaxOverdueTime);
+    owner_->on_stream_overdue(shared_from_this());
+  }
+
+  // The stream is overdue if nothing arrives in time: the agent or the network may fall silent while
+  // connecting, within the header, or on an open connection.
   void set_timeout(Time timeout) {
     timer_.expires_after(std::chrono::microseconds(timeout));
     timer_.async_wait([self = shared_from_this(), generation = ++timer_generation_](const Error& error) {
-      if (!error && generation == self->timer_generation_) self->end();
+      if (!error && generation == self->timer_generation_) self->on_timeout();
     });
   }
 
@@ -146,6 +161,7 @@
   uint64_t timer_generation_ = 0;
   const steady_clock::time_point started_at_ = steady_clock::now();
   State state_ = State::kConnecting;
+  bool is_overdue_ = false;
   WatchEnd end_ = WatchEnd::kNoResponse;
   http::request<http::empty_body> request_;
   boost::beast::flat_buffer buffer_;
@@ -172,6 +188,7 @@
 
 DiscoveryWatch::~DiscoveryWatch() {
   if (stream_) stream_->close();
+  for (const auto& stream : overdue_streams_) stream->close();
   for (const auto& stream : old_streams_) stream->close();
 }
 
@@ -180,6 +197,7 @@
   address_ = address;
   const Time pending_delay = stream_ ? kNever : time_until_retry();
   if (stream_) old_streams_.push_back(std::exchange(stream_, nullptr));
+  for (const auto& stream : std::exchange(overdue_streams_, {})) stream->close();
   if (old_streams_.size() > kMaxOldStreams) {
     old_streams_.front()->close();
     old_streams_.erase(old_streams_.begin());
@@ -213,12 +231,51 @@
 
 void DiscoveryWatch::on_stream_ended(const std::shared_ptr<Stream>& stream) {
   stream->close();
-  if (stream != stream_) return void(std::erase(old_streams_, stream));
+  if (std::erase(old_streams_, stream) > 0) return;
+  const bool was_overdue = std::erase(overdue_streams_, stream) > 0;
+  // Another request has been made, or is due. A refusal says more of when it should be than the silence did.
+  if (was_overdue && (stream_ || stream->end_reason() != WatchEnd::kRefused)) return;
   log_trouble(*stream);
   stream_.reset();
   connect_after(scheduler_.retry_delay(stream->end_reason(), stream->waited()));
 }
 
+// Of too many overdue streams the oldest stays: each of the others may be too young for a very slow
+// discovery.
+void DiscoveryWatch::on_stream_overdue(const std::shared_ptr<Stream>& stream) {
+  if (stream != stream_) return;
+  log_trouble(*stream);
+  overdue_streams_.push_back(std::exchange(stream_, nullptr));
+  if (overdue_streams_.size() > kMaxOverdueStreams) {
+    const auto second_oldest = overdue_streams_.begin() + 1;
+    (*second_oldest)->close();
+    overdue_streams_.erase(second_oldest);
+  }
+  connect_after(scheduler_.retry_delay(stream->end_reason(), stream->waited()));
+}
+
+// An item has come on a stream to the present address: it replaces all others there.
+void DiscoveryWatch::follow(const std::shared_ptr<Stream>& stream) {
+  std::erase(overdue_streams_, stream);
+  for (const auto& other : std::exchange(overdue_streams_, {})) other->close();
+  if (stream == stream_) return;
+  if (stream_) stream_->close();
+  retry_timer_.cancel();
+  stream_ = stream;
+}
+
+// A large list from a slow discovery may come on several streams at once.
+void DiscoveryWatch::limit_buffered_lists() {
+  size_t bytes = stream_ ? stream_->buffered_bytes() : 0;
+  for (const auto& stream : old_streams_) bytes += stream->buffered_bytes();
+  for (const auto& stream : overdue_streams_) bytes += stream->buffered_bytes();
+  while (bytes > kMaxBufferedLists * max_list_bytes_ && !overdue_streams_.empty()) {
+    bytes -= overdue_streams_.back()->buffered_bytes();
+    overdue_streams_.back()->close();
+    overdue_streams_.pop_back();
+  }
+}
+
 // One line for each series of failures.
 void DiscoveryWatch::log_trouble(const Stream& stream) {
   if (trouble_since_) return;
@@ -244,7 +301,7 @@
   std::fprintf(stderr, "host list refused: longer than %zu bytes\n", max_list_bytes_);
 }
 
-bool DiscoveryWatch::handle_item(const std::string& list) {
+bool DiscoveryWatch::handle_item(const std::shared_ptr<Stream>& stream, const std::string& list) {
   try {
     if (!list.empty()) {
       on_list_(parse_list_text(list, names_));
@@ -253,8 +310,11 @@
   } catch (const std::exception&) {  // malformed or refused: start again on a new connection
     return false;
   }
-  scheduler_.on_item();
-  log_recovery();
+  if (std::find(old_streams_.begin(), old_streams_.end(), stream) == old_streams_.end()) {
+    scheduler_.on_item();
+    log_recovery();
+    follow(stream);
+  }
   on_item_();
   return true;
 }
--- a/relay/discovery.h
+++ b/relay/discovery.h
@@ -22,8 +22,9 @@
 namespace firspool::relay {
 
 // Keeps a watch on the host list open: one that ends, falls silent or sends a malformed list is reopened
-// after a delay from the scheduler. Discovery may move to another address. What the old one has sent still
-// counts, so its stream is read to its end.
+// after a delay from the scheduler. One that is silent stays open beside those that were opened after it,
+// until any of them brings an item: a discovery that is slow would never be heard otherwise. Discovery may
+// move to another address. What the old one has sent still counts, so its stream is read to its end.
 class DiscoveryWatch {
  public:
   using ListCallback = std::function<void(const HostList&)>;
@@ -48,10 +49,14 @@
   void connect_after(Time delay);
   Time time_until_retry() const;
   void on_stream_ended(const std::shared_ptr<Stream>& stream);
+  void on_stream_overdue(const std::shared_ptr<Stream>& stream);
+  void follow(const std::shared_ptr<Stream>& stream);
+  void limit_buffered_lists();
   void log_trouble(const Stream& stream);
   void log_recovery();
   void on_list_too_long();
-  bool handle_item(const std::string& list);  // an empty item is a keep-alive; false: malformed list
+  // An empty item is a keep-alive. Returns false if the list is malformed or refused.
+  bool handle_item(const std::shared_ptr<Stream>& stream, const std::string& list);
 
   boost::asio::io_context& io_;
   tcp::endpoint address_;
@@ -66,7 +71,8 @@
   boost::asio::steady_timer retry_timer_;
   std::optional<std::chrono::steady_clock::time_point> trouble_since_;  // logged, and no item came since
   std::shared_ptr<Stream> stream_;
-  std::vector<std::shared_ptr<Stream>> old_streams_;  // to former addresses, until they end
+  std::vector<std::shared_ptr<Stream>> overdue_streams_;  // to the same address, the oldest first
+  std::vector<std::shared_ptr<Stream>> old_streams_;      // to former addresses, until they end
 };
 
 // Sends notices to discovery and repeats each until it is acknowledged with 204. Each post has a connection
--- a/tests/peers.cpp
+++ b/tests/peers.cpp
@@ -195,6 +195,7 @@
     if (request->request_line.starts_with("GET")) {
       if (silent_) continue;
       add_watch(request->request_line);
+      if (readable(connection.fd(), static_cast<int>(reply_delay_.load().count()))) return;  // given up
       connection.send("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n");
       size_t sent = first_list();
       while (!stopped_ && !readable(connection.fd(), 50)) {
--- a/tests/peers.h
+++ b/tests/peers.h
@@ -6,6 +6,7 @@
 #include <sys/types.h>
 
 #include <atomic>
+#include <chrono>
 #include <condition_variable>
 #include <filesystem>
 #include <map>
@@ -109,6 +110,8 @@
   void answer_later_posts_unread() { answers_later_posts_unread_ = true; }
   // Watches opened while it is silent never get a reply, as if discovery were down.
   void set_silent(bool on = true) { silent_ = on; }
+  // Later watches get their first word only after this time.
+  void set_reply_delay(std::chrono::milliseconds delay) { reply_delay_ = delay; }
   int refused_notices() const { return refused_notices_; }
 
  private:
@@ -121,6 +124,7 @@
   std::atomic<bool> stopped_ = false;
   std::atomic<bool> silent_ = false;
   std::atomic<bool> answers_later_posts_unread_ = false;
+  std::atomic<std::chrono::milliseconds> reply_delay_ = std::chrono::milliseconds(0);
   std::atomic<int> notices_to_refuse_ = 0;
   std::atomic<int> refused_notices_ = 0;
   std::mutex mutex_;
--- a/tests/program_test.cpp
+++ b/tests/program_test.cpp
@@ -672,6 +672,28 @@
   EXPECT_EQ(next.next_notice(), nlohmann::json({{"id", "00000000000000a2"}, {"state", "failed"}}));
 }
 
+// Fails if a relay gives up each watch before a slow discovery says its first word, and so never hears it
+// (review/8). Destinations 99 and 8 have no active host before.
+TEST(Program, HearsASlowDiscoveryAfterAStartAndAfterAMove) {
+  constexpr std::chrono::milliseconds kReplyDelay{1500};
+  RelaySetup s;
+  FakeDiscovery next;
+  FakeHost first_host, second_host;
+  s.discovery.set_reply_delay(kReplyDelay);
+  s.discovery.publish(list_json(2, false, {member_json("s-2", first_host.address(), 99)}));
+  s.program.start();
+  EXPECT_EQ(s.put("00000000000000a1", attributes_of("keyed", 99)), "+OK");
+  EXPECT_EQ(id_of(first_host.next_request()), "00000000000000a1");
+  first_host.respond("200");
+  next.set_reply_delay(kReplyDelay);
+  next.publish(list_json(3, false, {member_json("s-3", second_host.address(), 8)}));
+  s.config["discovery"] = next.address();
+  s.program.write_config(s.config.dump());
+  s.program.signal(SIGHUP);
+  EXPECT_EQ(s.put("00000000000000a2", attributes_of("keyed", 8)), "+OK");
+  EXPECT_EQ(id_of(second_host.next_request()), "00000000000000a2");
+}
+
 // One relay's part of a rolling restart: discovery moves, its host is replaced, it is killed with a call in
 // flight, and the next time it gets SIGTERM with one in flight.
 TEST(Program, ARollingRestartWithDiscoveryMovedAndAHostReplacedLosesNothing) {
--- a/tests/watch_test.cpp
+++ b/tests/watch_test.cpp
@@ -1,8 +1,10 @@
 // The watch and the notices against an agent that the test plays, which falls silent at each possible point.
 #include <poll.h>
 
+#include <atomic>
 #include <boost/asio/post.hpp>
 #include <functional>
+#include <limits>
 
 #include "discovery.h"
 #include "peers.h"
@@ -61,7 +63,11 @@
         [] {}, {schedule_, schedule_seed_}, kMaxListBytes, true);
     watch_ = &watch;
     watch.start();
-    while (revisions_.empty() || revisions_.back() != revision) io_.run_one();
+    const Time deadline = steady_now() + testing::kDeadlineMs * Time{1000};
+    while ((revisions_.empty() || revisions_.back() != revision) && steady_now() < deadline)
+      io_.run_one_for(std::chrono::milliseconds(100));
+    EXPECT_TRUE(!revisions_.empty() && revisions_.back() == revision) << "the list was not heard";
+    heard_ = true;
     agent.join();
     return steady_now() - first;
   }
@@ -72,6 +78,51 @@
   umberhoist::members::WatchScheduleOptions schedule_;
   uint64_t schedule_seed_ = 1;
   std::vector<int64_t> revisions_;
+  std::atomic<bool> heard_ = false;  // or given up
+};
+
+// An agent that answers each watch with a list, a fixed time after it is asked for.
+class SlowAgent {
+ public:
+  SlowAgent(const Socket& listener, Time delay) : listener_(listener), delay_(delay) {}
+
+  // Until `done`.
+  void serve(const std::atomic<bool>& done, int revision) {
+    while (!done) {
+      std::vector<pollfd> sockets = {{listener_.fd(), POLLIN, 0}};
+      for (const Watch& watch : watches_) sockets.push_back({watch.connection.fd(), POLLIN, 0});
+      ::poll(sockets.data(), sockets.size(), kPollMs);
+      for (size_t i = watches_.size(); i > 0; --i) {
+        if (sockets[i].revents != 0) watches_.erase(watches_.begin() + static_cast<long>(i) - 1);  // given up
+      }
+      if (sockets[0].revents != 0) accept();
+      for (Watch& watch : watches_) {
+        if (steady_now() < watch.due) continue;
+        watch.connection.send(kHead + chunk(list_text(revision)));
+        watch.due = std::numeric_limits<Time>::max();
+      }
+    }
+  }
+  size_t most_open() const { return most_open_; }
+
+ private:
+  struct Watch {
+    Socket connection;
+    Time due = 0;
+  };
+  static constexpr int kPollMs = 5;
+
+  void accept() {
+    Socket connection = listener_.accept();
+    if (!read_request(connection)) return;
+    watches_.push_back({std::move(connection), steady_now() + delay_});
+    most_open_ = std::max(most_open_, watches_.size());
+  }
+
+  const Socket& listener_;
+  Time delay_;
+  std::vector<Watch> watches_;
+  size_t most_open_ = 0;
 };
 
 // The watch falls silent, and the one that replaces it sends nothing, or stops within its header. (The sum of
@@ -154,6 +205,90 @@
   EXPECT_LT(took, 2'000'000);
 }
 
+// Fails if a watch that a slow agent has not answered in time is given up: each of them would be, for ever.
+TEST_F(WatchTest, ASlowAgentIsHeardAsSoonAsItAnswers) {
+  constexpr Time kTolerance = 500'000;
+  for (const Time delay : {1'500'000, 4'500'000}) {
+    revisions_.clear();
+    heard_ = false;
+    SlowAgent agent(listener_, delay);
+    const Time asked_at = steady_now();
+    run_until_revision([&] { agent.serve(heard_, 1); }, 1);
+    EXPECT_LT(steady_now() - asked_at, delay + kTolerance);
+  }
+}
+
+// The same where requests cost discovery work, and a request has more time.
+TEST_F(WatchTest, ASlowDiscoveryThatAFleetSharesIsHeardAsSoonAsItAnswers) {
+  constexpr Time kDelay = 3'000'000;
+  schedule_ = kPacedSchedule;
+  schedule_seed_ = 1;  // the first request is made 0.6 s after the start
+  SlowAgent agent(listener_, kDelay);
+  const Time started_at = steady_now();
+  run_until_revision([&] { agent.serve(heard_, 1); }, 1);
+  EXPECT_LT(steady_now() - started_at, kMaxNotificationDelay);
+}
+
+// The first request stays open however many follow it, and they are few.
+TEST_F(WatchTest, AVerySlowAgentIsHeardAndHoldsFewRequests) {
+  constexpr Time kDelay = 9'000'000;
+  SlowAgent agent(listener_, kDelay);
+  const Time asked_at = steady_now();
+  run_until_revision([&] { agent.serve(heard_, 1); }, 1);
+  EXPECT_LT(steady_now() - asked_at, kDelay + 500'000);
+  EXPECT_LE(agent.most_open(), 6u);
+}
+
+TEST_F(WatchTest, AWatchThatFallsSilentIsReplacedInTimeByASlowAgent) {
+  EXPECT_LT(run_until_revision(
+                [&] {
+                  const Socket first = accept_watch(kHead + chunk(list_text(1)));
+                  SlowAgent agent(listener_, 2'500'000);
+                  agent.serve(heard_, 2);
+                },
+                2),
+            kMaxNotificationDelay);
+}
+
+// A silent watch that speaks again is followed, and the request that was to replace it is given up.
+TEST_F(WatchTest, ASilentWatchThatSpeaksAgainIsFollowed) {
+  run_until_revision(
+      [this] {
+        const Socket first = accept_watch(kHead + chunk(list_text(1)));
+        Socket second = accept_watch("");
+        EXPECT_TRUE(first.send(chunk(list_text(2))));
+        EXPECT_TRUE(second.closed_by_peer());
+        EXPECT_TRUE(first.send(chunk(list_text(3))));
+      },
+      3);
+  EXPECT_EQ(revisions_, (std::vector<int64_t>{1, 2, 3}));
+}
+
+// Fails if a discovery that refuses a request only after the relay stopped waiting for it is asked as if it
+// were silent: an overloaded one would be asked too often.
+TEST_F(WatchTest, ARequestThatIsRefusedLateShowsAnOverload) {
+  constexpr Time kRefusalDelay = 2'600'000;  // just after the request is overdue
+  constexpr Time kMinOverloadedDelay = 4'400'000;
+  schedule_ = kPacedSchedule;
+  schedule_seed_ = 1;
+  Time refused_at = 0, asked_again_at = 0;
+  run_until_revision(
+      [&] {
+        Socket first = listener_.accept();
+        EXPECT_TRUE(read_request(first).has_value());
+        const Time asked_at = steady_now();
+        pollfd next{listener_.fd(), POLLIN, 0};
+        EXPECT_EQ(::poll(&next, 1, static_cast<int>(kRefusalDelay / 1000)), 0);
+        EXPECT_GE(steady_now() - asked_at, kRefusalDelay - 1000);
+        EXPECT_TRUE(first.send("HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n"));
+        refused_at = steady_now();
+        const Socket second = accept_watch(kHead + chunk(list_text(1)));
+        asked_again_at = steady_now();
+      },
+      1);
+  EXPECT_GT(asked_again_at - refused_at, kMinOverloadedDelay);
+}
+
 // Fails if a relay that was told of another address of discovery asks there later than a change may take. (It
 // waited for up to the request interval.)
 TEST_F(WatchTest, AMovedDiscoveryIsAskedWithinTheTimeThatAChangeMayTake) {
