--- a/members/list_words.cpp
+++ b/members/list_stream_parser.cpp
@@ -1,4 +1,4 @@
-#include "members/list_words.h"
+#include "members/list_stream_parser.h"
 
 #include <utility>
 
--- a/members/ask_pace.cpp
+++ b/members/watch_scheduler.cpp
@@ -1,4 +1,4 @@
-#include "members/ask_pace.h"
+#include "members/watch_scheduler.h"
 
 #include <algorithm>
 
--- a/relay/discovery.h
+++ b/relay/discovery.h
@@ -15,8 +15,8 @@
 #include <vector>
 
 #include "directory.h"
-#include "members/ask_pace.h"
-#include "members/list_words.h"
+#include "members/list_stream_parser.h"
+#include "members/watch_scheduler.h"
 #include "message.h"
 
 namespace firspool::relay {
--- a/tests/members/list_words_test.cpp
+++ b/tests/members/list_stream_parser_test.cpp
@@ -1,5 +1,5 @@
 // The stream of a watch is split into the same items however it is cut into reads.
-#include "members/list_words.h"
+#include "members/list_stream_parser.h"
 
 #include <gtest/gtest.h>
 
--- a/tests/members/ask_pace_test.cpp
+++ b/tests/members/watch_scheduler_test.cpp
@@ -1,5 +1,5 @@
 // When relays send requests to discovery, against a model of one that a whole fleet shares.
-#include "members/ask_pace.h"
+#include "members/watch_scheduler.h"
 
 #include <gtest/gtest.h>
 
