Silent watches to a former address of discovery are read to their end

Cause: the change that keeps silent watches open closed those as a SIGHUP moved discovery, so that what the former one sent on them was lost; a watch that was not silent is read to its end.

Measured: by a test on sockets, AMovedDiscoveryIsStillHeardOnAWatchThatWasSilent, which passes; with the lines of before it was not played.

--- a/relay/discovery.cpp
+++ b/relay/discovery.cpp
@@ -196,9 +196,9 @@
   if (address == address_) return;
   address_ = address;
   const Time pending_delay = stream_ ? kNever : time_until_retry();
+  for (const auto& stream : std::exchange(overdue_streams_, {})) old_streams_.push_back(stream);
   if (stream_) old_streams_.push_back(std::exchange(stream_, nullptr));
-  for (const auto& stream : std::exchange(overdue_streams_, {})) stream->close();
-  if (old_streams_.size() > kMaxOldStreams) {
+  while (old_streams_.size() > kMaxOldStreams) {
     old_streams_.front()->close();
     old_streams_.erase(old_streams_.begin());
   }
--- a/tests/watch_test.cpp
+++ b/tests/watch_test.cpp
@@ -264,6 +264,23 @@
   EXPECT_EQ(revisions_, (std::vector<int64_t>{1, 2, 3}));
 }
 
+// Fails if what the former discovery sends on a silent watch is lost as discovery moves.
+TEST_F(WatchTest, AMovedDiscoveryIsStillHeardOnAWatchThatWasSilent) {
+  const Socket next = Socket::listen();
+  run_until_revision(
+      [&] {
+        const Socket first = accept_watch(kHead + chunk(list_text(1)));
+        const Socket second = accept_watch("");
+        boost::asio::post(io_, [&] {
+          watch_->set_address({boost::asio::ip::address_v4::loopback(), next.port()});
+        });
+        const Socket third = accept_watch(next, "");
+        EXPECT_TRUE(first.send(chunk(list_text(2))));
+        while (!heard_) std::this_thread::yield();
+      },
+      2);
+}
+
 // Fails if a discovery that refuses a request only after the relay stopped waiting for it is asked as if it
 // were silent: an overloaded one would be asked too often.
 TEST_F(WatchTest, ARequestThatIsRefusedLateShowsAnOverload) {
