A relay's folder is measured as it was at one moment

Cause: the kit adds up a single listing of the folder. A segment that was counted and is then removed is counted beside the records that are copied, during the same listing, to a segment that was listed but not yet looked at.

Change: two listings. A file in both was there at the moment between them, with at least the smaller of its sizes, so their sum is what the folder held then.

--- a/limits/meter.cpp
+++ b/limits/meter.cpp
@@ -16,6 +16,7 @@
 #include <cstdio>
 #include <cstdlib>
 #include <cstring>
+#include <map>
 #include <string_view>
 #include <vector>
 
@@ -81,14 +82,14 @@
 // proportional size of each such process in full.
 bool share_address_space(pid_t a, pid_t b) { return ::syscall(SYS_kcmp, a, b, KCMP_VM, 0, 0) == 0; }
 
-struct FolderUsage {
-  size_t block_bytes = 0;
-  size_t allocated_bytes = 0;
-  size_t files = 0;
+struct FileUsage {
+  size_t block_bytes = 0;      // size in whole blocks
+  size_t allocated_bytes = 0;  // without holes, which take no memory
 };
 
-FolderUsage measure_folder(const std::filesystem::path& path) {
-  FolderUsage out;
+// Every regular file below `path`, by path.
+std::map<std::string, FileUsage> list_files(const std::filesystem::path& path) {
+  std::map<std::string, FileUsage> out;
   std::error_code error;
   using Iterator = std::filesystem::recursive_directory_iterator;
   for (Iterator it(path, std::filesystem::directory_options::skip_permission_denied, error), end;
@@ -97,10 +98,33 @@
     if (!it->is_regular_file(removed) || removed) continue;
     const auto size = it->file_size(removed);
     if (removed) continue;
-    struct stat status {};  // allocated blocks, not the size: holes take no memory
+    FileUsage file{block_rounded(size), 0};
+    struct stat status {};
     if (::lstat(it->path().c_str(), &status) == 0)
-      out.allocated_bytes += static_cast<size_t>(status.st_blocks) * 512;
-    out.block_bytes += block_rounded(size);
+      file.allocated_bytes = static_cast<size_t>(status.st_blocks) * 512;
+    out.emplace(it->path().string(), file);
+  }
+  return out;
+}
+
+struct FolderUsage {
+  size_t block_bytes = 0;
+  size_t allocated_bytes = 0;
+  size_t files = 0;
+};
+
+// What the folder held at one moment, the one between two listings: files that are in both, each at the
+// smaller of its two sizes. A single listing takes time, and would count a file that is removed during it
+// beside what is written in its place.
+FolderUsage measure_folder(const std::filesystem::path& path) {
+  const std::map<std::string, FileUsage> before = list_files(path);
+  const std::map<std::string, FileUsage> after = list_files(path);
+  FolderUsage out;
+  for (const auto& [name, file] : before) {
+    const auto still_there = after.find(name);
+    if (still_there == after.end()) continue;
+    out.block_bytes += std::min(file.block_bytes, still_there->second.block_bytes);
+    out.allocated_bytes += std::min(file.allocated_bytes, still_there->second.allocated_bytes);
     ++out.files;
   }
   return out;
--- a/tests/limits/meter_test.cpp
+++ b/tests/limits/meter_test.cpp
@@ -6,6 +6,7 @@
 #include <sys/wait.h>
 #include <unistd.h>
 
+#include <atomic>
 #include <chrono>
 #include <fstream>
 #include <functional>
@@ -125,6 +126,40 @@
   EXPECT_GE(usage.memory(), usage.resident + 100'000u);
 }
 
+// Guards against a relay killed for a sum of sizes that its folder never had: a segment removed during the
+// measurement was counted beside what was written in its place meanwhile.
+TEST(Meter, CountsNoRemovedFileBesideWhatReplacesIt) {
+  constexpr int kEmptyFiles = 200;  // they make each listing take a while
+  constexpr size_t kFileBytes = 4096;
+  constexpr int kSamples = 2000;
+  const Folder folder;
+  const Child child("nothing", folder.path / "state");
+  for (int i = 0; i < kEmptyFiles; ++i) std::ofstream(folder.path / "state" / ("empty" + std::to_string(i)));
+  const auto segment = [&](size_t number) { return folder.path / "state" / std::to_string(number); };
+  std::ofstream(segment(0)) << std::string(kFileBytes, 'x');
+  std::atomic<bool> stop = false;
+  std::thread relay([&] {  // one segment at a time has contents
+    for (size_t number = 0; !stop; ++number) {
+      std::ofstream(segment(number + 1));
+      std::this_thread::sleep_for(std::chrono::microseconds(100));
+      std::filesystem::remove(segment(number));
+      std::filesystem::resize_file(segment(number + 1), kFileBytes);
+      std::this_thread::sleep_for(std::chrono::microseconds(100));
+    }
+  });
+  ResourceMeter meter(child.pid(), folder.path / "state", folder.path / "tmp");
+  size_t most = 0;
+  Time now = steady_now();
+  for (int i = 0; i < kSamples; ++i) {
+    now += kSecond;  // each sample measures the folder anew
+    most = std::max(most, meter.sample(now).disk);
+  }
+  stop = true;
+  relay.join();
+  EXPECT_LE(most, kFileBytes);
+  EXPECT_EQ(meter.sample(now + kSecond).disk, kFileBytes);
+}
+
 TEST(Meter, AProcessThatHasEndedCostsNothingAndBreaksNothing) {
   const Folder folder;
   const Child child("nothing", folder.path / "state");
