A told wait counts from the writing of its reply, not from when that was noted

Cause: the stand-in took the wait's start in the handler that runs after its write. On a busy machine the relay has read the reply by then, and its wait ends earlier than the one that it is held to.

Change: ToldWait carries the time just before the write beside the wait's length; the wait ends by it. Calls that may have crossed the reply are still judged by the later time. No tolerance was added.

Tests, both failed with the former time: Standins.AWaitStartsNoLaterThanItsReplyCanBeRead (5 ms too late) and Checker.AWaitCountsFromTheWritingOfItsReply. The planted faults of waits are reported as before.

--- a/rehearsal/checker.cpp
+++ b/rehearsal/checker.cpp
@@ -456,7 +456,7 @@
              : "it took effect under the id of an earlier handing-in too: " + hex(other->submission.id));
 }
 
-void Checker::on_call_ended(Time at, uint64_t number, CallEnd end, Time retry_after) {
+void Checker::on_call_ended(Time at, uint64_t number, CallEnd end, ToldWait wait) {
   const auto call = calls_.find(number);
   if (call == calls_.end()) return;
   TrackedMessage* m = find(call->second);
@@ -475,7 +475,7 @@
   } else if (end == CallEnd::kError) {
     m->record({at, EventType::kError, 0, static_cast<int64_t>(number)});
   } else if (end == CallEnd::kRefused) {
-    m->record({at, EventType::kCallRefused, static_cast<int32_t>(retry_after / 1000),
+    m->record({at, EventType::kCallRefused, static_cast<int32_t>(wait.length / 1000),
                static_cast<int64_t>(number)});
   } else if (end == CallEnd::kMessageOver) {
     m->record({at, EventType::kMessageOver, 0, static_cast<int64_t>(number)});
@@ -486,11 +486,11 @@
   } else {
     m->record({at, EventType::kAbandoned, 0, static_cast<int64_t>(number)});
   }
-  if (retry_after > 0) {
+  if (wait.length > 0) {
     Relay& r = relays_[relay];
-    if (Time& until = r.wait_until[destination]; at + retry_after >= until) {
-      until = at + retry_after;
-      r.wait_origin[destination] = {at, retry_after};
+    if (Time& until = r.wait_until[destination]; wait.starts_from + wait.length >= until) {
+      until = wait.starts_from + wait.length;
+      r.wait_origin[destination] = {at, wait.length};
     }
   }
   if (end == CallEnd::kDelivered) {
--- a/rehearsal/checker.h
+++ b/rehearsal/checker.h
@@ -96,7 +96,7 @@
   void on_no_reply(Time at, uint64_t id, NoReplyReason reason) override;
   void on_call(Time at, const Call& call) override;
   void on_executed(Time at, uint64_t call, bool effect) override;
-  void on_call_ended(Time at, uint64_t call, CallEnd end, Time retry_after) override;
+  void on_call_ended(Time at, uint64_t call, CallEnd end, ToldWait wait) override;
   void on_probe(Time at, int relay, int endpoint, bool ok) override;
   void on_notice(Time at, int relay, uint64_t id, bool returned, Time retry_after) override;
   void on_notice_abandoned(Time at, int relay, uint64_t id) override;
--- a/rehearsal/ledger.cpp
+++ b/rehearsal/ledger.cpp
@@ -192,7 +192,7 @@
   calls_[call.number] = call.id;
 }
 
-void MessageTracker::on_call_ended(Time at, uint64_t number, CallEnd end, Time) {
+void MessageTracker::on_call_ended(Time at, uint64_t number, CallEnd end, ToldWait) {
   const auto call = calls_.find(number);
   if (call == calls_.end()) return;
   OpenMessage* open = find(call->second);
--- a/rehearsal/ledger.h
+++ b/rehearsal/ledger.h
@@ -79,7 +79,7 @@
   void on_failed(Time at, uint64_t id, const std::string& line) override;
   void on_no_reply(Time at, uint64_t id, NoReplyReason reason) override;
   void on_call(Time at, const Call& call) override;
-  void on_call_ended(Time at, uint64_t call, CallEnd end, Time retry_after) override;
+  void on_call_ended(Time at, uint64_t call, CallEnd end, ToldWait wait) override;
   void on_notice(Time at, int relay, uint64_t id, bool returned, Time retry_after) override;
   void on_relay_event(Time at, int relay, RelayEvent event) override;
 
--- a/standins/endpoints.cpp
+++ b/standins/endpoints.cpp
@@ -142,7 +142,7 @@
   // Used when the machine is lost, or when it is back after it was silent.
   void reset() {
     if (owner_ == nullptr) return;
-    end_call(CallEnd::kReset, 0);
+    end_call(CallEnd::kReset);
     Error ignored;
     socket_.set_option(boost::asio::socket_base::linger(true, 0), ignored);
     close();
@@ -170,12 +170,12 @@
     owner_ = nullptr;
   }
 
-  void end_call(CallEnd end, Time retry_after) {
+  void end_call(CallEnd end, ToldWait wait = {}) {
     if (call_ == 0) return;
     const uint64_t number = std::exchange(call_, 0);
     --owner_->calls_in_flight_;
     --owner_->calls_by_relay_[static_cast<size_t>(relay_)];
-    owner_->observer_.on_call_ended(steady_now(), number, end, retry_after);
+    owner_->observer_.on_call_ended(steady_now(), number, end, wait);
   }
 
   void start_idle_timer() {
@@ -203,7 +203,7 @@
                             [self = shared_from_this()](const Error& error, size_t count) {
                               if (self->owner_ == nullptr) return;
                               if (count == 0 || error) {
-                                self->end_call(CallEnd::kAbandoned, 0);
+                                self->end_call(CallEnd::kAbandoned);
                                 return self->close();
                               }
                               std::memcpy(self->buffer_.prepare(count).data(), self->chunk_.data(), count);
@@ -277,7 +277,7 @@
     const int out = ++owner_->calls_by_relay_[static_cast<size_t>(relay_)];
     owner_->observer_.on_call(now, call);
     if (is_closing_) {
-      end_call(CallEnd::kReset, 0);
+      end_call(CallEnd::kReset);
       return close();
     }
     Partner& partner = owner_->partner(endpoint_->settings.destination);
@@ -361,7 +361,7 @@
     silent_ = true;
     boost::asio::async_write(socket_, boost::asio::buffer(out_),
                              [self = shared_from_this()](const Error&, size_t) {
-                               if (self->owner_ != nullptr) self->end_call(CallEnd::kMalformed, 0);
+                               if (self->owner_ != nullptr) self->end_call(CallEnd::kMalformed);
                              });
   }
 
@@ -374,17 +374,17 @@
     out_ += "Content-Length: 0\r\n\r\n";
     is_responding_ = true;
     const bool close_after = std::string_view(extra_headers).find("close") != std::string_view::npos;
-    boost::asio::async_write(
-        socket_, boost::asio::buffer(out_),
-        [self = shared_from_this(), end, retry_after, close_after](const Error& error, size_t) {
-          if (self->owner_ == nullptr) return;
-          self->is_responding_ = false;
-          if (end) self->end_call(error ? CallEnd::kAbandoned : *end, retry_after);
-          if (!error) self->draw_second_answer();
-          if (error || close_after) return self->close();
-          self->start_idle_timer();
-          if (self->buffer_.size() > 0) self->parse(steady_now());
-        });
+    const ToldWait wait{retry_after, steady_now()};
+    boost::asio::async_write(socket_, boost::asio::buffer(out_),
+                             [self = shared_from_this(), end, wait, close_after](const Error& error, size_t) {
+                               if (self->owner_ == nullptr) return;
+                               self->is_responding_ = false;
+                               if (end) self->end_call(error ? CallEnd::kAbandoned : *end, wait);
+                               if (!error) self->draw_second_answer();
+                               if (error || close_after) return self->close();
+                               self->start_idle_timer();
+                               if (self->buffer_.size() > 0) self->parse(steady_now());
+                             });
   }
 
   void draw_second_answer() {
--- a/standins/witness.h
+++ b/standins/witness.h
@@ -81,6 +81,12 @@
 uint64_t hash_bytes(std::string_view bytes);  // FNV-1a
 std::string hex(uint64_t value);              // 16 digits
 
+// The wait that a reply asks for.
+struct ToldWait {
+  Time length = 0;       // 0: none
+  Time starts_from = 0;  // just before the reply was written: the relay cannot have read it earlier
+};
+
 class Observer {
  public:
   virtual ~Observer() = default;
@@ -93,7 +99,7 @@
   virtual void on_no_reply(Time /*at*/, uint64_t /*id*/, NoReplyReason) {}
   virtual void on_call(Time /*at*/, const Call&) {}
   virtual void on_executed(Time /*at*/, uint64_t /*call*/, bool /*effect*/) {}
-  virtual void on_call_ended(Time /*at*/, uint64_t /*call*/, CallEnd, Time /*retry_after*/) {}
+  virtual void on_call_ended(Time /*at*/, uint64_t /*call*/, CallEnd, ToldWait) {}
   // An answer, or a part of it, was written a second time.
   virtual void on_second_answer(Time /*at*/, int /*relay*/, int /*endpoint*/) {}
   virtual void on_probe(Time /*at*/, int /*relay*/, int /*endpoint*/, bool /*ok*/) {}
@@ -145,8 +151,8 @@
   void on_executed(Time at, uint64_t call, bool effect) override {
     for (Observer* observer : observers_) observer->on_executed(at, call, effect);
   }
-  void on_call_ended(Time at, uint64_t call, CallEnd end, Time retry_after) override {
-    for (Observer* observer : observers_) observer->on_call_ended(at, call, end, retry_after);
+  void on_call_ended(Time at, uint64_t call, CallEnd end, ToldWait wait) override {
+    for (Observer* observer : observers_) observer->on_call_ended(at, call, end, wait);
   }
   void on_second_answer(Time at, int relay, int endpoint) override {
     for (Observer* observer : observers_) observer->on_second_answer(at, relay, endpoint);
--- a/tests/rehearsal/checker_test.cpp
+++ b/tests/rehearsal/checker_test.cpp
@@ -70,7 +70,9 @@
     checker.on_call(now, c);
     return c.number;
   }
-  void end_call(uint64_t call, CallEnd end, Time wait = 0) { checker.on_call_ended(now, call, end, wait); }
+  void end_call(uint64_t call, CallEnd end, Time wait = 0) {
+    checker.on_call_ended(now, call, end, {wait, now});
+  }
   size_t count(Rule rule) const {
     return std::count_if(checker.violations().begin(), checker.violations().end(),
                          [&](const Violation& b) { return b.rule == rule; });
@@ -603,6 +605,29 @@
   }
 }
 
+// Guards against a wait that lasts longer than it was told: a relay reads a reply before the stand-in's own
+// thread comes to note that it was written.
+TEST(Checker, AWaitCountsFromTheWritingOfItsReply) {
+  struct CallTime {
+    Time after;  // the reply was noted as written
+    bool violation;
+  };
+  constexpr Time kNotedLater = 30 * kMs;
+  for (const auto& [after, violation] : {CallTime{149 * kMs, false}, CallTime{151 * kMs, true},
+                                         CallTime{1969 * kMs, true}, CallTime{1970 * kMs, false}}) {
+    CheckerFixture f;
+    f.accept(1, kSafe);
+    f.accept(2, kSafe);
+    const uint64_t refused = f.call(1);
+    const Time written = f.now;
+    f.advance(kNotedLater);
+    f.checker.on_call_ended(f.now, refused, CallEnd::kRefused, {2 * kSecond, written});
+    f.advance(after);
+    f.call(2, 2);
+    EXPECT_EQ(f.count(Rule::kWait), violation ? 1u : 0u) << after;
+  }
+}
+
 TEST(Checker, AWaitIsOneRelaysAndOneDestinations) {
   CheckerFixture f;
   f.accept(1, kSafe);
--- a/tests/rehearsal/standins_test.cpp
+++ b/tests/rehearsal/standins_test.cpp
@@ -22,7 +22,8 @@
 
 struct RecordingObserver : Observer {
   std::vector<Call> calls;
-  std::vector<std::pair<CallEnd, Time>> ends;
+  std::vector<std::pair<CallEnd, Time>> ends;  // with the length of the wait
+  std::vector<ToldWait> waits;
   std::vector<std::string> replies;
   std::vector<std::pair<uint64_t, bool>> notices;
   std::vector<uint64_t> abandoned_notices;
@@ -31,8 +32,9 @@
 
   void on_call(Time, const Call& call) override { calls.push_back(call); }
   void on_executed(Time, uint64_t, bool) override { ++executed_count; }
-  void on_call_ended(Time, uint64_t, CallEnd end, Time retry_after) override {
-    ends.emplace_back(end, retry_after);
+  void on_call_ended(Time, uint64_t, CallEnd end, ToldWait wait) override {
+    ends.emplace_back(end, wait.length);
+    waits.push_back(wait);
   }
   void on_submitted(Time, const Submission&, uint64_t) override { replies.push_back("handed"); }
   void on_connect_failed(Time, const Submission&) override { replies.push_back("not reached"); }
@@ -164,6 +166,24 @@
   }
 }
 
+// Guards against a wait that is taken to start after the caller has read the reply that tells it.
+TEST(Standins, AWaitStartsNoLaterThanItsReplyCanBeRead) {
+  StandinsSetup setup;
+  setup.endpoints.begin_fault(7, Fault::kUnavailable, steady_now() + 10 * kSecond, 0, true);
+  tcp::socket caller(setup.io);
+  caller.connect({boost::asio::ip::address_v4::loopback(), setup.endpoints.port(1, 0)});
+  boost::asio::write(caller, boost::asio::buffer("POST /events HTTP/1.1\r\nX-Call-Id: " + hex(5) +
+                                                 "\r\nContent-Length: 0\r\n\r\n"));
+  ASSERT_TRUE(setup.run_until([&] { return caller.available() > 0; }));
+  const Time readable_at = steady_now();
+  std::this_thread::sleep_for(
+      std::chrono::milliseconds(5));  // as a busy machine keeps the stand-in from running
+  ASSERT_TRUE(setup.run_until([&] { return !setup.observer.waits.empty(); }));
+  EXPECT_GT(setup.observer.waits.at(0).length, 0);
+  EXPECT_GT(setup.observer.waits.at(0).starts_from, 0);
+  EXPECT_LE(setup.observer.waits.at(0).starts_from, readable_at);
+}
+
 // A partner that stays silent without a reset, as in 20 s outages, but shorter.
 TEST(Standins, ASilentMachineAnswersNothingResetsNothingAndLetsNoneIn) {
   StandinsSetup setup;
