--- a/rehearsal/checker.cpp
+++ b/rehearsal/checker.cpp
@@ -386,13 +386,15 @@
   }
   const auto relay = relays_.find(call.relay);
   if (relay == relays_.end()) return;
-  const auto until = relay->second.wait_until.find(destination);
-  if (until == relay->second.wait_until.end() || call.first_byte >= until->second) return;
-  const auto [wait_start, wait] = relay->second.wait_origin.at(destination);
-  if (call.first_byte <= wait_start + parameters_.retry_after_grace + parameters_.tolerance) return;
+  const auto found = relay->second.waits.find(destination);
+  if (found == relay->second.waits.end()) return;
+  const WaitInForce& wait = found->second;
+  if (call.first_byte >= wait.end()) return;
+  if (call.first_byte <= wait.noted_at + parameters_.retry_after_grace + parameters_.tolerance) return;
   report(Rule::kWait, at, m, call.relay, destination,
          format("sent %.0f ms into a told wait of %.0f ms",
-                static_cast<double>(call.first_byte - wait_start) / 1e3, static_cast<double>(wait) / 1e3));
+                static_cast<double>(call.first_byte - wait.told.starts_from) / 1e3,
+                static_cast<double>(wait.told.length) / 1e3));
 }
 
 // Checks whether the message may have another attempt.
@@ -487,11 +489,8 @@
     m->record({at, EventType::kAbandoned, 0, static_cast<int64_t>(number)});
   }
   if (wait.length > 0) {
-    Relay& r = relays_[relay];
-    if (Time& until = r.wait_until[destination]; wait.starts_from + wait.length >= until) {
-      until = wait.starts_from + wait.length;
-      r.wait_origin[destination] = {at, wait.length};
-    }
+    const WaitInForce later{wait, at};
+    if (WaitInForce& last = relays_[relay].waits[destination]; later.end() >= last.end()) last = later;
   }
   if (end == CallEnd::kDelivered) {
     m->delivered = true;
@@ -685,8 +684,7 @@
   if (event == RelayEvent::kStarted) {
     ++relay.incarnation;
     relay.restarting = true;
-    relay.wait_until.clear();
-    relay.wait_origin.clear();
+    relay.waits.clear();
   }
   if (event == RelayEvent::kReady) {
     relay.restarting = false;
--- a/rehearsal/checker.h
+++ b/rehearsal/checker.h
@@ -146,17 +146,21 @@
   static bool is_delivery_in_doubt(const TrackedMessage& m);
   Time drain_notified_at(int relay, int endpoint, Time at) const;
 
+  struct WaitInForce {
+    ToldWait told;
+    Time noted_at = 0;  // when its reply had been written; calls until shortly after may have crossed it
+    Time end() const { return told.starts_from + told.length; }
+  };
   struct Relay {
     bool known_dead = false;
     bool ended_over_limit = false;  // already reported: its exit is no second violation
     bool restarting = false;        // from the signal until it is ready
     Time notices_excused_until = 0;
-    Time moved_at = 0;                                 // last SIGHUP; 0: none
-    int incarnation = 0;                               // number of processes started so far
-    std::map<int, Time> wait_until;                    // by destination
-    std::map<int, std::pair<Time, Time>> wait_origin;  // by destination: time of the refusal, its wait
-    std::map<int, Time> notified_at;                   // by endpoint: drain or removal written to the relay
-    std::map<int, Time> agent_updated_at;              // by endpoint: drain or removal known to its agent
+    Time moved_at = 0;                     // last SIGHUP; 0: none
+    int incarnation = 0;                   // number of processes started so far
+    std::map<int, WaitInForce> waits;      // by destination: the one that ends last
+    std::map<int, Time> notified_at;       // by endpoint: drain or removal written to the relay
+    std::map<int, Time> agent_updated_at;  // by endpoint: drain or removal known to its agent
   };
   struct Endpoint {
     int destination = -1;
