--- a/tests/watch_test.cpp
+++ b/tests/watch_test.cpp
@@ -264,6 +264,72 @@
   EXPECT_EQ(revisions_, (std::vector<int64_t>{1, 2, 3}));
 }
 
+// Fails if a slow discovery's large lists are held in part on every open request, or if the oldest request,
+// which is answered first, is the one that gives way.
+TEST_F(WatchTest, PartsOfLargeListsOnManyRequestsAreFewAndTheOldestStays) {
+  constexpr int kHosts = 6000;
+  constexpr size_t kPartBytes = 800'000;  // four of them are more than three of the longest lists
+  std::vector<nlohmann::json> hosts;
+  for (int i = 0; i < kHosts; ++i) {
+    const std::string id = "a-host-with-a-long-name-" + std::to_string(i);
+    hosts.push_back(member_json(id, "127.0.0.1:" + std::to_string(i + 1), 7));
+  }
+  const std::string list = list_json(1, false, hosts).dump() + "\n";
+  ASSERT_GT(list.size(), kPartBytes);
+  ASSERT_LT(list.size(), kMaxListBytes);
+  const std::string part = kHead + chunk(list.substr(0, kPartBytes));
+  run_until_revision(
+      [&] {
+        Socket oldest = accept_watch(part);
+        const Socket second = accept_watch(part);
+        Socket third = accept_watch(part);
+        std::vector<Socket> later;
+        later.push_back(accept_watch(part));
+        pollfd events[] = {{third.fd(), POLLIN, 0}, {listener_.fd(), POLLIN, 0}};
+        while (::poll(events, 2, testing::kDeadlineMs) > 0 && events[0].revents == 0)
+          later.push_back(accept_watch(""));
+        EXPECT_TRUE(third.closed_by_peer());
+        EXPECT_LE(later.size(), 2u) << "it was closed for the number of requests, not for their bytes";
+        EXPECT_TRUE(oldest.send(chunk(list.substr(kPartBytes))));
+        while (!heard_) std::this_thread::yield();
+      },
+      1);
+}
+
+// Fails if the log does not tell a silent discovery from one that refuses, or repeats itself with each
+// request.
+TEST_F(WatchTest, TheLogTellsOnceThatDiscoveryIsSilentAndThatItIsHeardAgain) {
+  const auto count = [](const std::string& text, const std::string& part) {
+    size_t found = 0;
+    for (size_t at = text.find(part); at != std::string::npos; at = text.find(part, at + 1)) ++found;
+    return found;
+  };
+  const std::string refusal = "HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n";
+  struct Trouble {
+    std::string sent;
+    std::string expected;
+  };
+  for (const Trouble& trouble :
+       {Trouble{"", "a request got no reply after"}, Trouble{refusal, "a request was refused after"}}) {
+    revisions_.clear();
+    ::testing::internal::CaptureStderr();
+    run_until_revision(
+        [&] {
+          const Socket first = accept_watch(trouble.sent);
+          const Socket second = accept_watch(trouble.sent);
+          const Socket third = accept_watch(kHead + chunk(list_text(1)));
+          while (!heard_) std::this_thread::yield();
+        },
+        1);
+    heard_ = false;
+    const std::string log = ::testing::internal::GetCapturedStderr();
+    const std::string address = "discovery at 127.0.0.1:" + std::to_string(listener_.port()) + ": ";
+    EXPECT_EQ(count(log, address), 2u) << log;
+    EXPECT_EQ(count(log, address + trouble.expected), 1u) << log;
+    EXPECT_EQ(count(log, address + "heard again after"), 1u) << log;
+  }
+}
+
 // Fails if what the former discovery sends on a silent watch is lost as discovery moves.
 TEST_F(WatchTest, AMovedDiscoveryIsStillHeardOnAWatchThatWasSilent) {
   const Socket next = Socket::listen();
