--- a/limits/meter.h
+++ b/limits/meter.h
@@ -7,7 +7,7 @@
 //
 // A memory burst shorter than the time between two samples is still seen, because the kernel keeps the
 // highest resident size of each process (VmHWM). A helper that lives for less than kProcessScanInterval may
-// be missed.
+// be missed, and so is a file that exists, or has its name, for less than a listing of its folder takes.
 #pragma once
 
 #include <sys/types.h>
--- a/tests/rehearsal/standins_test.cpp
+++ b/tests/rehearsal/standins_test.cpp
@@ -176,8 +176,8 @@
                                                  "\r\nContent-Length: 0\r\n\r\n"));
   ASSERT_TRUE(setup.run_until([&] { return caller.available() > 0; }));
   const Time readable_at = steady_now();
-  std::this_thread::sleep_for(
-      std::chrono::milliseconds(5));  // as a busy machine keeps the stand-in from running
+  // As a busy machine keeps the stand-in from running.
+  std::this_thread::sleep_for(std::chrono::milliseconds(5));
   ASSERT_TRUE(setup.run_until([&] { return !setup.observer.waits.empty(); }));
   EXPECT_GT(setup.observer.waits.at(0).length, 0);
   EXPECT_GT(setup.observer.waits.at(0).starts_from, 0);
