Emulator: clumps, probes as load, partial outages, and who pushed a window over

A window over the tolerance now keeps each of its calls with its sender, what that had learned of the destination, and how long ago.

--- a/emulator/days.cpp
+++ b/emulator/days.cpp
@@ -164,6 +164,17 @@
   return model;
 }
 
+namespace {
+
+// The service time follows from the calls a second that the destination serves at its capacity.
+void set_capacity(DestinationModel& d, double calls_per_s) {
+  d.weight = calls_per_s;
+  d.service_time = static_cast<Time>(1e6 * static_cast<double>(d.concurrency) *
+                                     static_cast<double>(d.hosts.size()) / calls_per_s);
+}
+
+}  // namespace
+
 FleetModel random_return_model(int relays, uint64_t seed, const ReturnVariant& variant) {
   FleetModel model = random_outage_model(relays, seed);
   std::mt19937_64 random(seed * 104729 + static_cast<uint64_t>(relays));
@@ -186,12 +197,22 @@
   if (variant.rare_calls) {
     const double load_share = d.load / d.weight;
     d.load = within(4, 10);
-    d.weight = d.load / load_share;
-    d.service_time = static_cast<Time>(1e6 * static_cast<double>(d.concurrency) *
-                                       static_cast<double>(d.hosts.size()) / d.weight);
+    set_capacity(d, d.load / load_share);
+  }
+  if (variant.small_budget) {
+    model.settings.start_capacity = 0.15;
+    model.settings.overload_factor = 2;
+    model.settings.overload_window = 3 * kSecond;
+    set_capacity(d, std::exp(within(std::log(2.7), std::log(18))));
+    d.load = d.weight * within(0.45, 1);
+  }
+  if (variant.clumps) {
+    d.clump_share = within(0.09, 0.29);
+    d.clump_seconds = within(1.2, 3.3);
   }
   d.outage_kind = variant.outage_kind;
   d.outage_retry_after_share = variant.outage_retry_after_share;
+  if (variant.outage_kind == OutageKind::kMostCallsFail) d.outage_failing_share = within(0.5, 0.83);
   if (variant.traffic_grows) {
     const Time at = time(static_cast<double>(d.down_from) / 1e6, static_cast<double>(d.down_to) / 1e6);
     model.changes.push_back({at, &DestinationModel::load, d.load * within(1.5, 3)});
--- a/emulator/days.h
+++ b/emulator/days.h
@@ -41,7 +41,11 @@
   firspool::Effect effect = firspool::Effect::kSafe;
   bool before_rates_are_known = false;  // out from 2.5 to 5 s, for 6 to 10 s
   bool rare_calls = false;              // 4 to 10 a second of all relays together
-  bool hosts_replaced = false;          // between 3 s before the return and 0.5 s after it
+  bool clumps = false;                  // 9 to 29% of the messages come in clumps
+  // The smallest budget of the known deployments: a start capacity of 0.15, an overload factor of 2, a window
+  // of 3 s. The destination has 2.7 to 18 calls a second at its capacity.
+  bool small_budget = false;
+  bool hosts_replaced = false;  // between 3 s before the return and 0.5 s after it
 };
 
 // A random scenario, determined by the seed: the destination of random_outage_model with an outage of 9 s.
--- a/emulator/fleet.cpp
+++ b/emulator/fleet.cpp
@@ -17,6 +17,12 @@
 constexpr uint32_t kReplacementAddressOffset = 1'000'000;
 constexpr Time kListUpdateSpread = kSecond / 2;
 
+SenderKnowledge knowledge_after(SenderKnowledge before, Outcome outcome) {
+  if (outcome != Outcome::kOk) return SenderKnowledge::kFailed;
+  const bool failed_before = before == SenderKnowledge::kFailed || before == SenderKnowledge::kServedAfter;
+  return failed_before ? SenderKnowledge::kServedAfter : SenderKnowledge::kServed;
+}
+
 }  // namespace
 
 struct FleetEmulator::Relay {
@@ -41,6 +47,12 @@
   // Idle connections by the time they became idle; the most recently used last.
   std::map<Endpoint, std::vector<Time>> idle_connections;
   Time timer_at = 0;
+  // By destination: what this process has learned of it, and when.
+  struct Knowledge {
+    SenderKnowledge kind = SenderKnowledge::kNone;
+    Time at = 0;
+  };
+  std::map<int, Knowledge> knowledge;
 };
 
 struct FleetEmulator::Host {
@@ -50,11 +62,7 @@
   std::deque<uint64_t> queue;
   // When the destination's rate limit admits the next call (only on its first host).
   Time next_admission = 0;
-  struct ReceivedCall {
-    Time at = 0;
-    size_t relay = 0;
-  };
-  // Calls received by the destination (only on its first host).
+  // Calls and probes received by the destination while it was up (only on its first host).
   std::vector<ReceivedCall> received_calls;
   // Relays that saw a call or probe fail during its outage (only on its first host).
   std::set<size_t> informed_relays;
@@ -68,6 +76,7 @@
   Time sent = 0;
   bool new_connection = false;
   bool unanswered = false;  // received during a hang
+  ReceivedCall origin;
 };
 
 DestinationCounts& DestinationCounts::operator+=(const DestinationCounts& other) {
@@ -138,7 +147,9 @@
   for (const DestinationModel& d : model_.destinations) {
     counts_[d.number] = {};
     for (const Endpoint& endpoint : d.hosts) hosts_[endpoint].destination = d.number;
+    overload_windows_[d.number] = {};
     if (d.load > 0) schedule(0, [this, &d] { submit(d); });
+    if (d.load > 0 && d.clump_share > 0) schedule(0, [this, &d] { submit_clumps(d); });
     if (d.hosts_replaced_at > 0) schedule(d.hosts_replaced_at, [this, &d] { replace_hosts(d); });
     if (d.down_to > d.down_from && d.outage_kind == OutageKind::kConnectionsRefused) {
       // Resets the calls in flight at the destination.
@@ -242,11 +253,28 @@
   return nullptr;
 }
 
-// Schedules the next message for a destination and submits one to the relay chosen by the load balancer.
+// Schedules the next message for a destination that comes alone, and submits one.
 void FleetEmulator::submit(const DestinationModel& d) {
   if (now_ >= model_.duration) return;
-  schedule(now_ + 1 + static_cast<Time>(std::exponential_distribution<double>(d.load)(random_) * 1e6),
+  const double rate = d.load * (1 - d.clump_share);
+  schedule(now_ + 1 + static_cast<Time>(std::exponential_distribution<double>(rate)(random_) * 1e6),
            [this, &d] { submit(d); });
+  submit_message(d);
+}
+
+// Schedules the next clump of messages for a destination. The first one comes after a random time too.
+void FleetEmulator::submit_clumps(const DestinationModel& d) {
+  if (now_ >= model_.duration) return;
+  const int size = std::max(1, static_cast<int>(std::lround(d.clump_seconds * d.weight)));
+  const double rate = d.load * d.clump_share / size;
+  const Time pause = 1 + static_cast<Time>(std::exponential_distribution<double>(rate)(random_) * 1e6);
+  schedule(now_ + pause, [this, &d, size] {
+    for (int i = 0; i < size; ++i) submit_message(d);
+    submit_clumps(d);
+  });
+}
+
+void FleetEmulator::submit_message(const DestinationModel& d) {
   Relay* const available = choose_relay();
   if (available == nullptr) return;  // no relay is available: not counted as offered
   Relay& relay = *available;
@@ -269,6 +297,7 @@
   relay.events.clear();
   relay.idle_connections.clear();
   relay.timer_at = 0;
+  relay.knowledge.clear();
   relay.up = true;
   relay.stopping = false;
   MembersChanged list;
@@ -383,8 +412,14 @@
     const Endpoint endpoint = probe->endpoint;
     ++counts_[d.number].probes;
     const uint64_t process = relay.process;
-    const bool up = !is_out(d, now_);
-    if (!up) hosts_.at(d.hosts.front()).informed_relays.insert(relay.number);
+    const bool up = !is_out(d, now_) || serves_during_outage(d);
+    Host& first = hosts_.at(d.hosts.front());
+    if (up) {
+      first.received_calls.push_back(received_call(relay, d.number, now_));
+      first.received_calls.back().is_probe = true;
+    } else {
+      first.informed_relays.insert(relay.number);
+    }
     schedule(now_ + 4 * model_.one_way_latency, [this, &relay, endpoint, process, up] {
       if (relay.process == process)
         post_event(relay, ProbeEnded{endpoint, up, 4 * model_.one_way_latency, {}});
@@ -409,6 +444,18 @@
   relay.idle_connections.erase(list);
 }
 
+ReceivedCall FleetEmulator::received_call(const Relay& relay, int destination, Time sent) const {
+  ReceivedCall call;
+  call.at = now_;
+  call.relay = relay.number;
+  call.sent = sent;
+  const auto found = relay.knowledge.find(destination);
+  if (found == relay.knowledge.end()) return call;
+  call.knowledge = found->second.kind;
+  call.knowledge_age = now_ - found->second.at;
+  return call;
+}
+
 void FleetEmulator::start_call(Relay& relay, const Send& send) {
   const uint64_t number = ++last_call_number_;
   Call& out = calls_[number];
@@ -420,7 +467,12 @@
       not_ready != relay.not_ready_since.end() && now_ > not_ready->second + model_.settings.drain_grace;
   message.in_flight = true;
   message.sent = now_;
-  out = {&relay, relay.process, send, message.attempts++, now_, false};
+  out.relay = &relay;
+  out.process = relay.process;
+  out.send = send;
+  out.attempt = message.attempts++;
+  out.sent = now_;
+  out.origin = received_call(relay, message.arrival.destination, now_);
   std::vector<Time>& list = relay.idle_connections[send.endpoint];
   std::erase_if(list, [&](Time since) {
     const bool old = now_ - since >= model_.settings.conn_idle_timeout - kSecond;
@@ -437,6 +489,11 @@
 
 bool FleetEmulator::is_out(const DestinationModel& d, Time at) { return at >= d.down_from && at < d.down_to; }
 
+// Whether the outage lets a call through that reaches the destination now.
+bool FleetEmulator::serves_during_outage(const DestinationModel& d) {
+  return d.outage_kind == OutageKind::kMostCallsFail && random_fraction() >= d.outage_failing_share;
+}
+
 void FleetEmulator::receive_call_during_outage(uint64_t number, const DestinationModel& d) {
   Call& call = calls_.at(number);
   DestinationCounts& counts = counts_[d.number];
@@ -450,6 +507,7 @@
     ++counts.connect_failures;
     return end_call(number, Outcome::kConnectFailed, 0, false, false);
   }
+  if (d.outage_kind == OutageKind::kMostCallsFail) return end_call(number, Outcome::kError, 0, false, true);
   ++counts.other_refusals;
   const bool tells_wait = d.outage_retry_after_share > 0 && random_fraction() < d.outage_retry_after_share;
   end_call(number, Outcome::kRefused, tells_wait ? std::max<Time>(d.down_to - now_, 1) : 0, false, true);
@@ -463,11 +521,12 @@
   Host& host = hosts_.at(call.send.endpoint);
   const DestinationModel& d = destination(hosts_.at(call.send.endpoint).destination);
   DestinationCounts& counts = counts_[d.number];
-  if (is_out(d, now_)) return receive_call_during_outage(number, d);
+  if (is_out(d, now_) && !serves_during_outage(d)) return receive_call_during_outage(number, d);
   if (now_ >= d.unresponsive_from && now_ < d.unresponsive_to) return;  // no answer
   ++counts.calls;
   Host& first = hosts_.at(d.hosts.front());
-  first.received_calls.push_back({now_, call.relay->number});
+  first.received_calls.push_back(call.origin);
+  first.received_calls.back().at = now_;
   if (call.new_connection) {
     ++counts.new_connections;
     if (d.max_connections > 0 && host.connections >= d.max_connections) {
@@ -558,6 +617,9 @@
     if (keep_connection) relay.idle_connections[endpoint].push_back(now_);
     const DestinationModel& d = destination(hosts_.at(endpoint).destination);
     if (call.unanswered && now_ < d.down_to) hosts_.at(d.hosts.front()).informed_relays.insert(relay.number);
+    Relay::Knowledge& knowledge = relay.knowledge[d.number];
+    knowledge.kind = knowledge_after(knowledge.kind, outcome);
+    knowledge.at = now_;
     AttemptEnded end;
     end.id = call.send.id;
     end.attempt = call.attempt;
@@ -624,6 +686,15 @@
     }
     const double roots = budget < 30 ? 3 : 2;
     const bool over_tolerance = sent > budget + roots * std::sqrt(budget) + roots;
+    if (over_tolerance && !violated_by_all) {
+      const auto begin = host.received_calls.begin();
+      overload_windows_[d.number] = {
+          begins,
+          budget,
+          {begin + static_cast<std::ptrdiff_t>(first), begin + static_cast<std::ptrdiff_t>(i + 1)}};
+      for (ReceivedCall& call : overload_windows_[d.number].calls)
+        call.informed = host.informed_relays.contains(call.relay);
+    }
     violated_by_all = violated_by_all || over_tolerance;
     violated = violated || (by_informed && over_tolerance);
     if (by_informed) {
--- a/emulator/fleet.h
+++ b/emulator/fleet.h
@@ -27,8 +27,9 @@
 // What happens to calls during an outage.
 enum class OutageKind {
   kConnectionsRefused,
-  kCallsRefused,  // each call is refused without being executed
-  kHang,          // calls are received and never answered
+  kCallsRefused,   // each call is refused without being executed
+  kHang,           // calls are received and never answered
+  kMostCallsFail,  // a share of the calls is answered with an error at once; the others are served
 };
 
 struct DestinationModel {
@@ -53,6 +54,7 @@
   // like the new ones, for relays that do not know the list yet.
   Time hosts_replaced_at = 0;
   double outage_retry_after_share = 0;  // kCallsRefused: share of the refusals that tell when the outage ends
+  double outage_failing_share = 0;      // kMostCallsFail: share of the calls that end with an error
   Time failing_from = 0;                // in this interval some calls are answered with an error
   Time failing_to = 0;
   double failing_share = 0;  // share of the calls that end so
@@ -61,7 +63,11 @@
   Time unresponsive_to = 0;
   double reset_share = 0;  // share of the served calls whose connection is reset before the answer
   double load = 0;         // messages a second submitted for it, over all relays
-  int message_class = 0;   // class of these messages
+  // Share of these messages that come in clumps, all of a clump at once. A clump holds as many as the weight
+  // admits in `clump_seconds`.
+  double clump_share = 0;
+  double clump_seconds = 0;
+  int message_class = 0;  // class of these messages
 };
 
 // Sets a field of all destinations at a given time.
@@ -93,6 +99,32 @@
       on_step;
 };
 
+// What the sender of a call or probe had learned of the destination since its process was started.
+enum class SenderKnowledge {
+  kNone,         // no call of it had ended there
+  kServed,       // the last one was served
+  kFailed,       // the last one failed or was refused
+  kServedAfter,  // a call failed or was refused, and the last one was served
+};
+
+// A call or probe that reached a destination while it was up.
+struct ReceivedCall {
+  Time at = 0;
+  size_t relay = 0;
+  bool is_probe = false;
+  Time sent = 0;
+  SenderKnowledge knowledge = SenderKnowledge::kNone;
+  Time knowledge_age = 0;  // since the last call of the sender ended there
+  bool informed = false;   // the sender had seen a call or probe fail during the outage
+};
+
+// The first overload window of a recovery that got more calls than the terms of service tolerate.
+struct OverloadWindow {
+  Time begins = 0;
+  double budget = 0;
+  std::vector<ReceivedCall> calls;
+};
+
 // Counts for one destination.
 struct DestinationCounts {
   int64_t offered = 0;
@@ -157,6 +189,8 @@
   DestinationModel& destination(int number);  // may be changed during the run
   const DestinationCounts& counts(int destination) const { return counts_.at(destination); }
   DestinationCounts total() const;
+  // The first window of the destination's recovery over the tolerance; no calls: there was none.
+  const OverloadWindow& overload_window(int destination) const { return overload_windows_.at(destination); }
 
  private:
   struct Relay;
@@ -172,6 +206,8 @@
 
   double random_fraction() { return std::uniform_real_distribution<double>(0, 1)(random_); }
   void submit(const DestinationModel& destination);
+  void submit_clumps(const DestinationModel& destination);
+  void submit_message(const DestinationModel& destination);
   void replace_hosts(const DestinationModel& destination);
   Relay* choose_relay();
   void start(Relay& relay, bool first);
@@ -187,6 +223,8 @@
                 bool keep_connection);
   void close_idle_connections(Relay& relay, const Endpoint& endpoint);
   static bool is_out(const DestinationModel& destination, Time at);
+  bool serves_during_outage(const DestinationModel& destination);
+  ReceivedCall received_call(const Relay& relay, int destination, Time sent) const;
   void evaluate_slow_start(const DestinationModel& destination);
 
   FleetModel model_;
@@ -200,6 +238,7 @@
   std::map<Endpoint, Host> hosts_;
   std::vector<firspool::Member> host_list_;  // host list after the last update
   std::map<int, DestinationCounts> counts_;
+  std::map<int, OverloadWindow> overload_windows_;
   struct Call;
   std::map<uint64_t, Call> calls_;
   std::discrete_distribution<size_t> load_balancer_;
