--- a/tests/slow_start_test.cpp
+++ b/tests/slow_start_test.cpp
@@ -59,7 +59,7 @@
   void set_failure(Failure failure) {
     const std::lock_guard lock(mutex_);
     failure_ = failure;
-    served_ = failed_ = 0;
+    served_ = failed_ = unanswered_ = 0;
   }
   // Waits until this many calls were served since the last change, or the time is over; the number of calls.
   int wait_for_calls(int count, std::chrono::milliseconds time) {
@@ -67,6 +67,12 @@
     changed_.wait_for(lock, time, [&] { return served_ >= count; });
     return served_;
   }
+  // The same for calls that were read and not answered.
+  int wait_for_unanswered_calls(int count) {
+    std::unique_lock lock(mutex_);
+    changed_.wait_for(lock, std::chrono::milliseconds(kDeadlineMs), [&] { return unanswered_ >= count; });
+    return unanswered_;
+  }
   // The same for calls that failed; an unanswered one counts once its caller has given it up.
   int wait_for_failed_calls(int count) {
     std::unique_lock lock(mutex_);
@@ -91,6 +97,7 @@
   Failure count_call() {
     const std::lock_guard lock(mutex_);
     served_ += failure_ == Failure::kNone;
+    unanswered_ += failure_ == Failure::kSilence;
     failed_ += failure_ == Failure::kReset || failure_ == Failure::kRefusal;
     changed_.notify_all();
     return failure_;
@@ -108,6 +115,7 @@
   Failure failure_ = Failure::kNone;
   int served_ = 0;
   int failed_ = 0;
+  int unanswered_ = 0;
   std::vector<std::thread> threads_;
   std::thread acceptor_;
 };
@@ -190,6 +198,11 @@
     put_one_each("safe");
   }
 
+  // No relay has news of the host for longer than a short outage lasts.
+  void let_knowledge_age() {
+    ASSERT_EQ(host_.wait_for_calls(kRelays + 1, std::chrono::milliseconds(5500)), kRelays);
+  }
+
   // Waits until each relay has seen at least one call fail.
   void wait_for_each_to_see_a_failure() {
     ASSERT_GE(host_.wait_for_failed_calls(kRelays), kRelays);
@@ -250,6 +263,17 @@
   expect_no_overload_after_return(host_);
 }
 
+// Guards against relays that take silence for health: each sends on while its only call has no answer.
+TEST_F(SlowStart, RelaysWithOneUnansweredCallEachDoNotOverloadTheDestinationTogether) {
+  put_one_each("safe");
+  ASSERT_EQ(host_.wait_for_calls(kRelays, std::chrono::milliseconds(kDeadlineMs)), kRelays);
+  let_knowledge_age();
+  host_.set_failure(Failure::kSilence);
+  put_one_each("safe");
+  ASSERT_EQ(host_.wait_for_unanswered_calls(kRelays), kRelays);
+  expect_no_overload_after_return(host_);
+}
+
 // Guards against relays that forget an outage when the list replaces the host that failed.
 class ReplacedHost : public SlowStart, public ::testing::WithParamInterface<Failure> {};
 
