A relay with old news of a destination waits while a call there is late

Cause: silence was taken for health. A relay that had been served 5 s ago or longer and whose only call had no answer sent all that came on, until that call timed out (1.4 to 6.4 s): in a hang it had learned nothing and was no part of the slow start.

Fix: where nothing was served that was sent within 5 s, and a call is out for longer than its destination's calls usually take, further ones wait for its outcome. A relay of a small fleet may have as many out as its even part of what a cold destination tolerates. Nothing is held back where a call was served lately, on trial or on probation.

The model of two tests of the pushed-over window is replaced by one in which the load grows eightfold: in the former the new rule left no window over the tolerance.

--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -12,6 +12,7 @@
 
 #include "overload_budget.h"
 #include "policy_parts.h"
+#include "unanswered_calls.h"
 
 namespace firspool {
 
@@ -831,9 +832,43 @@
                    describe_rates(route));
   }
 
+  // Time since the youngest served call was sent.
+  Time news_age(const Route& route) const {
+    return route.last_served_sent == std::numeric_limits<Time>::min() ? kNever
+                                                                      : now_ - route.last_served_sent;
+  }
+
+  // Calls at hosts that are being removed say nothing of those that replace them.
+  UnansweredCalls unanswered_calls(const Route& route) {
+    UnansweredCalls unanswered;
+    for (const auto& [id, attempt] : attempts_) {
+      const Host& host = hosts_[attempt.endpoint];
+      if (host.route != &route || !host.ready) continue;
+      ++unanswered.count;
+      const Latency& latency = latency_of(destinations_[host.member.destination]);
+      unanswered.any_late = unanswered.any_late || now_ - attempt.sent > latency.late_age();
+    }
+    return unanswered;
+  }
+
+  // This relay's part of the calls that the destination, by the relay's estimate of its capacity, would
+  // tolerate in an overload window at the start of a recovery.
+  double tolerated_share(const Route& route) const {
+    const double calls = estimated_rate(route) * settings_.relays * seconds(settings_.overload_window);
+    const double budget = settings_.overload_factor * settings_.start_capacity * calls;
+    return tolerated_calls(budget) / settings_.relays;
+  }
+
+  // Trial calls and calls on probation are paced as it is.
+  bool awaits_news(const Route& route) {
+    if (route.outage_start != 0 || on_probation(route) || news_age(route) < kMaxNewsAge) return false;
+    return waits_for_outcome(unanswered_calls(route), news_age(route), tolerated_share(route));
+  }
+
   // When a call may be sent on this route; kNever: not before some other event.
   Time admitted_at(Route& route) {
     if (route.retry_after_until > now_) return route.retry_after_until;
+    if (awaits_news(route)) return kNever;
     if (route.outage_start != 0) {
       // Before the last trial call has its outcome, another one adds little information and would fill the
       // slots.
--- a/src/policy_parts.h
+++ b/src/policy_parts.h
@@ -50,6 +50,8 @@
 inline constexpr double kTableFullShare = 0.05;
 // Idle connections are being dropped if calls on them fail by this much more often than on fresh ones.
 inline constexpr double kIdleLossMargin = 0.2;
+// A call is late once it is older than the mean latency plus this many mean deviations.
+inline constexpr double kLateDeviations = 2;
 // Latency assumed before any call was measured.
 inline constexpr Time kInitialLatency = 400 * kMs;
 // A call is overdue once it is older than the mean latency plus this many mean deviations, and at least
@@ -163,6 +165,8 @@
     deviation += gain * (std::abs(took - mean) - deviation);
     mean += gain * (took - mean);
   }
+  // Age from which a call counts as late.
+  Time late_age() const { return micros(mean + kLateDeviations * deviation); }
   // Age from which a call counts as overdue.
   Time overdue_age() const { return std::max(kMinOverdueAge, micros(mean + kOverdueDeviations * deviation)); }
 };
--- a/tests/emulator/cold_test.cpp
+++ b/tests/emulator/cold_test.cpp
@@ -116,6 +116,21 @@
   for (const uint64_t seed : {60, 71, 88, 149}) EXPECT_EQ(violations(seed, rare), 0) << "seed " << seed;
 }
 
+// Guards against relays that send on while their only call there is unanswered.
+TEST(ColdBudgetOf, AFleetOfRareCallersIsKeptByAllRelaysTogetherAfterAHang) {
+  const auto violations = [](uint64_t seed, const ReturnVariant& variant) {
+    FleetEmulator fleet(random_return_model(40, seed, variant));
+    fleet.run();
+    return fleet.total().slow_start_violations_by_all;
+  };
+  const ReturnVariant rare = {.outage_kind = OutageKind::kHang, .rare_calls = true, .clumps = true};
+  for (const uint64_t seed : {176, 614, 636, 771, 1149, 1232, 1632, 1645, 1891})
+    EXPECT_EQ(violations(seed, rare), 0) << "seed " << seed;
+  const ReturnVariant small = {.outage_kind = OutageKind::kHang, .clumps = true, .small_budget = true};
+  for (const uint64_t seed : {13, 88, 98, 140, 246, 291, 362, 380})
+    EXPECT_EQ(violations(seed, small), 0) << "seed " << seed;
+}
+
 // Guards against relays that forget an outage when the list replaces the hosts of a destination that is out.
 TEST(ColdBudgetOf, AFleetIsKeptWhereTheHostsAreReplacedDuringTheOutage) {
   for (const OutageKind kind :
--- a/tests/emulator/returns_test.cpp
+++ b/tests/emulator/returns_test.cpp
@@ -9,11 +9,12 @@
 namespace umberhoist::emulator {
 namespace {
 
-// A destination that any three calls push over.
-FleetModel model_without_budget(const ReturnVariant& variant) {
-  FleetModel model = random_return_model(40, 1, variant);
-  model.settings.overload_factor = 1e-6;
+// Eight times the load comes with the return: no relay can know, and all together push the destination over.
+FleetModel pushed_over_model(uint64_t seed) {
+  FleetModel model = random_return_model(40, seed, {.rare_calls = true});
   model.settings.may_probe = true;
+  const DestinationModel& d = model.destinations.front();
+  model.changes.push_back({d.down_to, &DestinationModel::load, 8 * d.load});
   return model;
 }
 
@@ -27,14 +28,13 @@
 }
 
 TEST(OverloadWindow, TellsWhatTheSenderOfEachCallHadLearned) {
-  const FleetModel model = model_without_budget({.rare_calls = true});
-  const Time down_to = model.destinations.front().down_to;
+  const FleetModel model = pushed_over_model(1);
   FleetEmulator fleet(model);
   fleet.run();
-  EXPECT_EQ(fleet.total().slow_start_violations_by_all, 1);
+  ASSERT_EQ(fleet.total().slow_start_violations_by_all, 1);
   const OverloadWindow& window = fleet.overload_window(1);
-  EXPECT_GT(window.calls.size(), 3u);
-  EXPECT_GE(window.begins, down_to);
+  EXPECT_GT(static_cast<double>(window.calls.size()), window.budget);
+  EXPECT_GE(window.begins, model.destinations.front().down_to);
   for (const ReceivedCall& call : window.calls) {
     EXPECT_GE(call.at, window.begins);
     EXPECT_LE(call.sent, call.at);
@@ -47,11 +47,7 @@
 TEST(OverloadWindow, CountsProbes) {
   int probes = 0;
   for (uint64_t seed = 1; seed <= 20; ++seed) {
-    FleetModel model = random_return_model(40, seed, {.rare_calls = true});
-    const DestinationModel& d = model.destinations.front();
-    model.changes.push_back({d.down_to, &DestinationModel::load, 8 * d.load});
-    model.settings.may_probe = true;
-    FleetEmulator fleet(model);
+    FleetEmulator fleet(pushed_over_model(seed));
     fleet.run();
     for (const ReceivedCall& call : fleet.overload_window(1).calls) probes += call.is_probe;
   }
--- a/tests/policy_test.cpp
+++ b/tests/policy_test.cpp
@@ -725,6 +725,74 @@
   EXPECT_EQ(all_of<Send>(relay.step(2 * kSecond, events)).size(), 3u);
 }
 
+// Lets a relay of a large fleet have old news of a destination, and one call out for `age`; returns the calls
+// that it sends at once for ten further messages.
+size_t calls_beside_an_unanswered_one(Time age) {
+  Relay relay(settings_of_rare_callers());
+  relay.step(0, {members({member(1)})});
+  Time now = serve_one(relay, 1, 0);
+  for (uint64_t id = 2; id < 6; ++id) now = serve_one(relay, id, now);
+  now += 6 * kSecond;
+  EXPECT_EQ(all_of<Send>(relay.step(now, {relay.message(20, now)})).size(), 1u);
+  now += age;
+  std::vector<Event> events;
+  for (uint64_t id = 30; id < 40; ++id) events.push_back(relay.message(id, now));
+  return all_of<Send>(relay.step(now, events)).size();
+}
+
+// Guards against relays that take silence for health.
+TEST(UnansweredCalls, HoldFurtherOnesBackWhereNewsIsOldAndTheAnswerIsLate) {
+  EXPECT_GT(calls_beside_an_unanswered_one(50'000), 1u);
+  EXPECT_EQ(calls_beside_an_unanswered_one(kSecond), 0u);
+}
+
+TEST(UnansweredCalls, HoldNothingBackWhereACallWasServedLately) {
+  Relay relay(settings_of_rare_callers());
+  relay.step(0, {members({member(1)})});
+  const Time now = serve_one(relay, 1, 0);
+  EXPECT_EQ(all_of<Send>(relay.step(now, {relay.message(2, now)})).size(), 1u);
+  EXPECT_EQ(all_of<Send>(relay.step(now + kSecond, {relay.message(3, now + kSecond)})).size(), 1u);
+}
+
+// A message that waits for an answer is given back in its time, and one that the answer frees is sent.
+TEST(UnansweredCalls, HoldNoMessageBeyondItsTime) {
+  Relay relay(settings_of_rare_callers());
+  relay.step(0, {members({member(1)})});
+  Time now = serve_one(relay, 1, 0) + 6 * kSecond;
+  const auto first = all_of<Send>(relay.step(now, {relay.message(20, now)}));
+  ASSERT_EQ(first.size(), 1u);
+  now += kSecond;
+  EXPECT_TRUE(all_of<Send>(relay.step(now, {relay.message(30, now)})).empty());
+  const auto freed = all_of<Send>(relay.step(now + 100'000, {ended(first[0], 0, Outcome::kOk)}));
+  ASSERT_EQ(freed.size(), 1u);
+  EXPECT_EQ(freed[0].id, 30u);
+
+  Relay silent(settings_of_rare_callers());
+  silent.step(0, {members({member(1)})});
+  now = serve_one(silent, 1, 0) + 6 * kSecond;
+  const auto unanswered = all_of<Send>(silent.step(now, {silent.message(20, now)}));
+  ASSERT_EQ(unanswered.size(), 1u);
+  now += kSecond;
+  Arrival brief = silent.message(30, now);
+  brief.due = now + kSecond / 2;
+  silent.step(now, {brief});
+  const auto returned = all_of<Refuse>(silent.run_idle(now, brief.due));
+  ASSERT_EQ(returned.size(), 1u);
+  EXPECT_EQ(returned[0].id, 30u);
+  silent.step(brief.due + 10'000, {ended(unanswered[0], 0, Outcome::kOk)});
+}
+
+// A host that is being removed answers nothing for those that replace it.
+TEST(UnansweredCalls, AtARemovedHostHoldNothingBack) {
+  Relay relay(settings_of_rare_callers());
+  relay.step(0, {members({member(1)})});
+  Time now = serve_one(relay, 1, 0) + 6 * kSecond;
+  ASSERT_EQ(all_of<Send>(relay.step(now, {relay.message(20, now)})).size(), 1u);
+  now += kSecond;
+  relay.step(now, {members({member(2)})});
+  EXPECT_EQ(all_of<Send>(relay.step(now, {relay.message(30, now)})).size(), 1u);
+}
+
 // Guards against a relay that passes over a call which fails only after the list has removed its host.
 TEST(Probation, AFailedCallCountsAfterTheListHasRemovedItsHost) {
   for (const Outcome outcome : {Outcome::kTimeout, Outcome::kReset, Outcome::kConnectFailed}) {
--- a/tests/slow_start_test.cpp
+++ b/tests/slow_start_test.cpp
@@ -271,6 +271,7 @@
   host_.set_failure(Failure::kSilence);
   put_one_each("safe");
   ASSERT_EQ(host_.wait_for_unanswered_calls(kRelays), kRelays);
+  ASSERT_EQ(host_.wait_for_calls(1, std::chrono::milliseconds(1000)), 0);
   expect_no_overload_after_return(host_);
 }
 
