A slow start does not end over a call that was not served in it

Cause: the end of a slow start was a matter of time. detect_outages cleared the streak of unserved calls with it, and one failed call was no relapse (two in a row were): the next served one wiped it out.

Fix: a call that fails in a slow start opens the circuit again, and the next served one starts the slow start anew. Refusals keep the slow start, at its full rate, until a call is served.

--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -501,10 +501,9 @@
       ++route.failures_in_streak;
       route.suspected = false;
     }
-    // Failures during the recovery start the slow start again. Outcomes of calls from before it add no
-    // information.
-    if (route.recovery_start != 0 && failed && route.unserved_streak >= kRelapseStreak &&
-        attempt.sent > route.recovery_start) {
+    // A failure during the recovery may be a new outage: the next served call starts the slow start again.
+    // Outcomes of calls from before it add no information.
+    if (route.recovery_start != 0 && failed && attempt.sent > route.recovery_start) {
       route.recovery_start = 0;
       log(route, "fails again");
     }
@@ -628,11 +627,11 @@
       }
       ++it;
       if (route.outage_start != 0) {
-        if (route.recovery_start != 0 && now_ - route.recovery_start >= settings_.slow_start) {
+        // The time alone does not end a slow start in which the last call was not served.
+        if (route.recovery_start != 0 && now_ - route.recovery_start >= settings_.slow_start &&
+            route.unserved_streak == 0) {
           log(route, "warm");
           route.outage_start = 0;
-          route.unserved_streak = route.failures_in_streak = 0;
-          route.streak_endpoints.clear();
         }
         continue;
       }
--- a/src/policy_parts.h
+++ b/src/policy_parts.h
@@ -75,8 +75,6 @@
 // The same for a relay that calls the destination so rarely that kOutageStreak calls take longer than a short
 // outage. One of the calls has to have failed rather than been refused.
 inline constexpr int kRareCallerOutageStreak = 2;
-// This many failures in a row during the recovery restart the outage.
-inline constexpr int kRelapseStreak = 2;
 inline constexpr Time kMinOutageSpan = 800 * kMs;
 // Refusals alone count as an outage only over a longer time: refusals at a rate limit last less.
 inline constexpr int kRefusalStreak = 3;
--- a/tests/emulator/returns_test.cpp
+++ b/tests/emulator/returns_test.cpp
@@ -9,12 +9,12 @@
 namespace umberhoist::emulator {
 namespace {
 
-// Eight times the load comes with the return: no relay can know, and all together push the destination over.
+// Thirty times the load comes with the return: no relay can know, and all together push the destination over.
 FleetModel pushed_over_model(uint64_t seed) {
   FleetModel model = random_return_model(40, seed, {.rare_calls = true});
   model.settings.may_probe = true;
   const DestinationModel& d = model.destinations.front();
-  model.changes.push_back({d.down_to, &DestinationModel::load, 8 * d.load});
+  model.changes.push_back({d.down_to, &DestinationModel::load, 30 * d.load});
   return model;
 }
 
--- a/tests/policy_test.cpp
+++ b/tests/policy_test.cpp
@@ -612,6 +612,93 @@
   EXPECT_EQ(all_of<Send>(relay.step(now, events)).size(), 10u);
 }
 
+// A relay whose destination was out from 8 to 12 s and has come back since.
+class RelayInSlowStart {
+ public:
+  RelayInSlowStart() : relay_(settings()) {
+    now_ = warm_up(relay_, last_id_);
+    run_until(12 * kSecond, Outcome::kConnectFailed);
+    while (recovery_start_ == 0) run_until(now_ + 100'000, Outcome::kOk);
+  }
+
+  // Submits a message every 100 ms until then, and lets all calls end so.
+  void run_until(Time end, Outcome outcome) {
+    for (; now_ < end; now_ += 100'000) step({relay_.message(++last_id_, now_)}, outcome);
+  }
+  void wait_until(Time end) {
+    for (; now_ < end; now_ += 100'000) step({}, Outcome::kOk);
+  }
+  void let_one_call_fail() {
+    size_t sent = 0;
+    for (; sent == 0; now_ += 100'000)
+      sent = step({relay_.message(++last_id_, now_)}, Outcome::kConnectFailed);
+    EXPECT_EQ(sent, 1u);
+  }
+  // Calls sent at once for 20 messages.
+  size_t burst() {
+    std::vector<Event> messages;
+    for (int i = 0; i < 20; ++i) messages.push_back(relay_.message(++last_id_, now_));
+    return step(messages, Outcome::kOk);
+  }
+  Time slow_start_end() const { return recovery_start_ + settings().slow_start; }
+
+ private:
+  static Settings settings() {
+    Settings s = basic_settings();
+    s.slots = 100;
+    return s;
+  }
+
+  size_t step(const std::vector<Event>& messages, Outcome outcome) {
+    events_.insert(events_.end(), messages.begin(), messages.end());
+    const auto actions = relay_.step(now_, events_);
+    events_.clear();
+    for (const Log& line : all_of<Log>(actions)) {
+      if (line.text.ends_with("back, cold")) recovery_start_ = now_;
+    }
+    const auto sends = all_of<Send>(actions);
+    for (const Send& send : sends) {
+      AttemptEnded end = ended(send, 0, outcome, 50'000);
+      end.final = true;  // no call is repeated
+      events_.push_back(end);
+    }
+    return sends.size();
+  }
+
+  Relay relay_;
+  uint64_t last_id_ = 0;
+  Time now_ = 0;
+  Time recovery_start_ = 0;
+  std::vector<Event> events_;
+};
+
+TEST(SlowStartEnd, ComesWithTheTimeWhereAllCallsAreServed) {
+  RelayInSlowStart relay;
+  relay.run_until(relay.slow_start_end() + kSecond, Outcome::kOk);
+  EXPECT_EQ(relay.burst(), 20u);
+}
+
+// Guards against relays that send all they hold as the time of a slow start is up, although its last call
+// failed.
+TEST(SlowStartEnd, DoesNotComeWithTheTimeAfterAFailedCall) {
+  RelayInSlowStart relay;
+  const Time end = relay.slow_start_end();
+  relay.run_until(end - 2 * kSecond, Outcome::kOk);
+  relay.let_one_call_fail();
+  relay.wait_until(end + 200'000);
+  EXPECT_LE(relay.burst(), 1u);
+}
+
+// Guards against relays that take a served call after a failed one for the rest of a slow start.
+TEST(SlowStartEnd, IsPutOffByAFailedCallThatAServedOneFollows) {
+  RelayInSlowStart relay;
+  const Time end = relay.slow_start_end();
+  relay.run_until(end - 2 * kSecond, Outcome::kOk);
+  relay.let_one_call_fail();
+  relay.run_until(end + 200'000, Outcome::kOk);
+  EXPECT_LE(relay.burst(), 1u);
+}
+
 // Refusals at a limit shared with other relays reduce the pacing rate, and are not taken for an outage.
 TEST(Limits, RefusalsReduceThePacingRate) {
   Settings s = basic_settings();
