An outage that fails most calls is not over with one that is served

Cause: one served call wiped out the failed ones before it. Three in a row over 0.8 s open the circuit, and a destination that serves every third call never gives three in a row.

Fix: the share of failed calls among the latest is kept for each route (src/failure_share.h). Where most calls fail, the next served one begins a slow start. The log says so: 'outage, as most calls failed'.

--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -470,7 +470,8 @@
   void on_served(const Attempt& attempt, Route& route) {
     route.served_rate.add(now_);
     route.last_served_sent = std::max(route.last_served_sent, attempt.sent);
-    if (attempt.on_probation) open_circuit_in_retrospect(route);
+    route.failure_share.on_served();
+    if (route.outage_start == 0) look_for_outage_in_retrospect(attempt, route);
     route.unserved_streak = route.failures_in_streak = 0;
     route.streak_endpoints.clear();
     route.probe_ok = false;
@@ -493,6 +494,7 @@
 
   void on_unserved(const Attempt& attempt, Route& route, bool failed, bool wait_requested) {
     monitor(route);
+    if (failed) route.failure_share.on_failed();
     // If a call sent later was served, this call was lost or its endpoint is bad, but the destination is up.
     if (attempt.sent < route.last_served_sent) return;
     if (route.unserved_streak++ == 0) begin_streak(attempt.sent, route);
@@ -591,16 +593,25 @@
     log(route, std::string("outage, ") + evidence + "; " + describe_rates(route));
   }
 
-  // A call on probation was served. There may have been an outage since the streak began, and this relay
-  // counts as having seen it: it takes part in the slow start.
-  void open_circuit_in_retrospect(Route& route) {
-    if (!on_probation(route)) return;
+  // A call was served. There may have been an outage until now, and this relay counts as having seen it: it
+  // takes part in the slow start.
+  void look_for_outage_in_retrospect(const Attempt& served, Route& route) {
+    if (served.on_probation && on_probation(route)) {
+      open_circuit_in_retrospect(route, route.streak_start, "as nothing was served since a call failed");
+    } else if (route.failure_share.most_calls_fail()) {
+      route.baseline_rate = estimated_rate(route);
+      route.estimated_outage_start = estimate_outage_start(route, served.sent);
+      open_circuit_in_retrospect(route, served.sent - 1, "as most calls failed");
+    }
+  }
+
+  void open_circuit_in_retrospect(Route& route, Time outage_start, const char* evidence) {
     monitor(route);
-    route.outage_start = route.streak_start;
+    route.outage_start = outage_start;
     route.recovery_start = 0;
     route.outage_is_shared = route.suspected = false;
     route.outage_bucket = {0, now_};
-    log(route, "outage, as nothing was served since a call failed; " + describe_rates(route));
+    log(route, std::string("outage, ") + evidence + "; " + describe_rates(route));
   }
 
   // A hang produces no outcomes: overdue calls, with nothing served since they were sent, are evidence of an
--- a/src/policy_parts.h
+++ b/src/policy_parts.h
@@ -9,6 +9,7 @@
 #include <utility>
 #include <vector>
 
+#include "failure_share.h"
 #include "firspool/policy.h"
 
 namespace firspool {
@@ -261,6 +262,7 @@
   TokenBucket outage_bucket;  // paces trial calls, calls on probation, and all calls during slow start
   int trials_in_flight = 0;
   Time last_served_sent = std::numeric_limits<Time>::min();  // send time of the youngest served call
+  FailureShare failure_share;
   bool probe_in_flight = false;
   bool probe_ok = false;
   // Calls lost on idle connections, with none served on a new connection since.
--- a/tests/emulator/cold_test.cpp
+++ b/tests/emulator/cold_test.cpp
@@ -131,6 +131,13 @@
     EXPECT_EQ(violations(seed, small), 0) << "seed " << seed;
 }
 
+// Guards against relays that take one served call among failed ones for the end of an outage.
+TEST(ColdBudgetOf, AFewRelaysAreKeptAfterAnOutageThatFailsMostCalls) {
+  const ReturnVariant failing = {.outage_kind = OutageKind::kMostCallsFail, .clumps = true};
+  for (const uint64_t seed : {2, 21, 38, 69, 98, 151, 204, 310, 339, 352})
+    EXPECT_EQ(violations_of_return(3, seed, failing), 0) << "seed " << seed;
+}
+
 // Guards against relays that forget an outage when the list replaces the hosts of a destination that is out.
 TEST(ColdBudgetOf, AFleetIsKeptWhereTheHostsAreReplacedDuringTheOutage) {
   for (const OutageKind kind :
--- a/tests/policy_test.cpp
+++ b/tests/policy_test.cpp
@@ -612,26 +612,21 @@
   EXPECT_EQ(all_of<Send>(relay.step(now, events)).size(), 10u);
 }
 
-// A relay whose destination was out from 8 to 12 s and has come back since.
-class RelayInSlowStart {
+// A relay that knows the rate of its only destination. Each of its calls ends its message.
+class RelayWithoutRetries {
  public:
-  RelayInSlowStart() : relay_(settings()) {
-    now_ = warm_up(relay_, last_id_);
-    run_until(12 * kSecond, Outcome::kConnectFailed);
-    while (recovery_start_ == 0) run_until(now_ + 100'000, Outcome::kOk);
-  }
+  RelayWithoutRetries() : relay_(settings()) { now_ = warm_up(relay_, last_id_); }
 
   // Submits a message every 100 ms until then, and lets all calls end so.
   void run_until(Time end, Outcome outcome) {
-    for (; now_ < end; now_ += 100'000) step({relay_.message(++last_id_, now_)}, outcome);
+    for (; now_ < end; now_ += kInterval) step({relay_.message(++last_id_, now_)}, outcome);
   }
   void wait_until(Time end) {
-    for (; now_ < end; now_ += 100'000) step({}, Outcome::kOk);
+    for (; now_ < end; now_ += kInterval) step({}, Outcome::kOk);
   }
-  void let_one_call_fail() {
+  void let_one_call_end(Outcome outcome) {
     size_t sent = 0;
-    for (; sent == 0; now_ += 100'000)
-      sent = step({relay_.message(++last_id_, now_)}, Outcome::kConnectFailed);
+    for (; sent == 0; now_ += kInterval) sent = step({relay_.message(++last_id_, now_)}, outcome);
     EXPECT_EQ(sent, 1u);
   }
   // Calls sent at once for 20 messages.
@@ -640,15 +635,20 @@
     for (int i = 0; i < 20; ++i) messages.push_back(relay_.message(++last_id_, now_));
     return step(messages, Outcome::kOk);
   }
-  Time slow_start_end() const { return recovery_start_ + settings().slow_start; }
 
- private:
+ protected:
+  static constexpr Time kInterval = 100'000;
+
   static Settings settings() {
     Settings s = basic_settings();
     s.slots = 100;
     return s;
   }
 
+  Time now_ = 0;
+  Time recovery_start_ = 0;
+
+ private:
   size_t step(const std::vector<Event>& messages, Outcome outcome) {
     events_.insert(events_.end(), messages.begin(), messages.end());
     const auto actions = relay_.step(now_, events_);
@@ -658,8 +658,8 @@
     }
     const auto sends = all_of<Send>(actions);
     for (const Send& send : sends) {
-      AttemptEnded end = ended(send, 0, outcome, 50'000);
-      end.final = true;  // no call is repeated
+      AttemptEnded end = ended(send, 0, outcome, kInterval / 2);
+      end.final = true;
       events_.push_back(end);
     }
     return sends.size();
@@ -667,11 +667,19 @@
 
   Relay relay_;
   uint64_t last_id_ = 0;
-  Time now_ = 0;
-  Time recovery_start_ = 0;
   std::vector<Event> events_;
 };
 
+// The same, whose destination was out from 8 to 12 s and has come back since.
+class RelayInSlowStart : public RelayWithoutRetries {
+ public:
+  RelayInSlowStart() {
+    run_until(12 * kSecond, Outcome::kConnectFailed);
+    while (recovery_start_ == 0) run_until(now_ + kInterval, Outcome::kOk);
+  }
+  Time slow_start_end() const { return recovery_start_ + settings().slow_start; }
+};
+
 TEST(SlowStartEnd, ComesWithTheTimeWhereAllCallsAreServed) {
   RelayInSlowStart relay;
   relay.run_until(relay.slow_start_end() + kSecond, Outcome::kOk);
@@ -684,7 +692,7 @@
   RelayInSlowStart relay;
   const Time end = relay.slow_start_end();
   relay.run_until(end - 2 * kSecond, Outcome::kOk);
-  relay.let_one_call_fail();
+  relay.let_one_call_end(Outcome::kConnectFailed);
   relay.wait_until(end + 200'000);
   EXPECT_LE(relay.burst(), 1u);
 }
@@ -694,11 +702,31 @@
   RelayInSlowStart relay;
   const Time end = relay.slow_start_end();
   relay.run_until(end - 2 * kSecond, Outcome::kOk);
-  relay.let_one_call_fail();
+  relay.let_one_call_end(Outcome::kConnectFailed);
   relay.run_until(end + 200'000, Outcome::kOk);
   EXPECT_LE(relay.burst(), 1u);
 }
 
+// Guards against relays that take one served call among failed ones for the end of the trouble.
+TEST(MostCallsFail, AndTheNextServedOneBeginsASlowStart) {
+  RelayWithoutRetries relay;
+  for (int i = 0; i < 10; ++i) {
+    for (int failed = 0; failed < 3; ++failed) relay.let_one_call_end(Outcome::kError);
+    relay.let_one_call_end(Outcome::kOk);
+  }
+  EXPECT_LE(relay.burst(), 1u);
+}
+
+TEST(MostCallsFail, IsNotSaidOfOneInFour) {
+  RelayWithoutRetries relay;
+  for (int i = 0; i < 10; ++i) {
+    for (int served = 0; served < 3; ++served) relay.let_one_call_end(Outcome::kOk);
+    relay.let_one_call_end(Outcome::kError);
+  }
+  relay.let_one_call_end(Outcome::kOk);
+  EXPECT_EQ(relay.burst(), 20u);
+}
+
 // Refusals at a limit shared with other relays reduce the pacing rate, and are not taken for an outage.
 TEST(Limits, RefusalsReduceThePacingRate) {
   Settings s = basic_settings();
