The log tells when a call failed, how old the news was, and at what time

Lines on destinations and messages begin with the time of day (UTC). New lines: the first failed call after served ones, with how it failed and how old the last news was (one a second and destination at most), and when messages begin to wait for a late call.

--- a/relay/relay.cpp
+++ b/relay/relay.cpp
@@ -8,6 +8,8 @@
 #include <limits>
 #include <nlohmann/json.hpp>
 
+#include "log_line.h"
+
 namespace firspool::relay {
 namespace {
 
@@ -804,7 +806,7 @@
     save_destination_state(state->state);
     if (fleet_ && state->state.endpoint == Endpoint{}) fleet_->on_destination_state(state->state);
   } else if (const auto* log = std::get_if<Log>(&action)) {
-    std::fprintf(stderr, "%s\n", log->text.c_str());
+    umberhoist::write_timed_line(log->text);
   }
 }
 
--- a/relay/upstream.cpp
+++ b/relay/upstream.cpp
@@ -4,10 +4,10 @@
 #include <boost/asio/post.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http.hpp>
-#include <cstdio>
 #include <cstring>
 #include <optional>
 
+#include "log_line.h"
 #include "reply_fields.h"
 #include "reply_parser.h"
 
@@ -423,7 +423,7 @@
       on_attempt_ended_(std::move(on_attempt_ended)),
       on_probe_ended_(std::move(on_probe_ended)),
       reply_callbacks_(std::move(reply_callbacks)),
-      log_([](const std::string& line) { std::fprintf(stderr, "%s\n", line.c_str()); }),
+      log_(umberhoist::write_timed_line),
       pool_(limits.idle_timeout - kIdleCloseMargin, pool_hooks()),
       sweep_timer_(io) {
   sweep();
--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -9,6 +9,7 @@
 #include <optional>
 #include <set>
 #include <stdexcept>
+#include <utility>
 
 #include "overload_budget.h"
 #include "policy_parts.h"
@@ -333,7 +334,7 @@
         // A host that is draining or removed may refuse any call.
         if (!host.ready) return;
         reduce_pacing_rate(attempt, route);
-        return on_unserved(attempt, route, false, e.retry_after > 0);
+        return on_unserved(attempt, route, e.outcome, e.retry_after > 0);
       case Outcome::kError:
       case Outcome::kReset:
       case Outcome::kTimeout:
@@ -347,7 +348,7 @@
         if (e.outcome == Outcome::kConnectFailed && host.first_connect_failure == 0)
           host.first_connect_failure = now_;
         if (e.outcome != Outcome::kError) avoid_host(host);
-        return on_unserved(attempt, route, true, false);
+        return on_unserved(attempt, route, e.outcome, false);
       // Any host may send malformed answers: they say nothing about its health.
       case Outcome::kMalformed:
         return apply_retry_after(e.retry_after, route);
@@ -492,7 +493,8 @@
     }
   }
 
-  void on_unserved(const Attempt& attempt, Route& route, bool failed, bool wait_requested) {
+  void on_unserved(const Attempt& attempt, Route& route, Outcome outcome, bool wait_requested) {
+    const bool failed = outcome != Outcome::kRefused;
     monitor(route);
     if (failed) route.failure_share.on_failed();
     // If a call sent later was served, this call was lost or its endpoint is bad, but the destination is up.
@@ -500,7 +502,7 @@
     if (route.unserved_streak++ == 0) begin_streak(attempt.sent, route);
     if (hosts_[attempt.endpoint].ready) route.streak_endpoints.insert(attempt.endpoint);
     if (failed) {
-      ++route.failures_in_streak;
+      if (route.failures_in_streak++ == 0 && route.outage_start == 0) log_failure(attempt, route, outcome);
       route.suspected = false;
     }
     // A failure during the recovery may be a new outage: the next served call starts the slow start again.
@@ -569,6 +571,34 @@
     actions_->push_back(Log{"destination " + std::to_string(route.key.first) + ": " + what});
   }
 
+  // The last news before a failed call tells how long an outage may have lasted when it was sent.
+  void log_failure(const Attempt& attempt, Route& route, Outcome outcome) {
+    if (now_ - route.failure_logged_at < kFailureLogInterval) return;
+    route.failure_logged_at = now_;
+    const bool has_news = route.last_served_sent != std::numeric_limits<Time>::min();
+    log(route,
+        std::string("a call ") + describe(outcome) + " after " + std::to_string((now_ - attempt.sent) / kMs) +
+            " ms; " +
+            (has_news ? "the last served one was sent " +
+                            std::to_string((attempt.sent - route.last_served_sent) / kMs) + " ms before it"
+                      : "none was served before"));
+  }
+
+  static const char* describe(Outcome outcome) {
+    switch (outcome) {
+      case Outcome::kError:
+        return "was answered with an error";
+      case Outcome::kTimeout:
+        return "timed out";
+      case Outcome::kConnectFailed:
+        return "could not connect";
+      case Outcome::kReset:
+        return "was reset";
+      default:
+        return "was not served";
+    }
+  }
+
   static std::string per_minute(double rate) { return std::to_string(std::lround(60 * rate)) + " a minute"; }
 
   // What the calls of this relay during an outage and its slow start are derived from.
@@ -869,10 +899,18 @@
     return tolerated_calls(budget) / settings_.relays;
   }
 
-  // Trial calls and calls on probation are paced as it is.
-  bool awaits_news(const Route& route) {
+  // Whether a message has to wait for news of the route. Trial calls and calls on probation are paced as it
+  // is.
+  bool awaits_news(Route& route) {
+    const bool before = std::exchange(route.awaits_news, false);
     if (route.outage_start != 0 || on_probation(route) || news_age(route) < kMaxNewsAge) return false;
-    return waits_for_outcome(unanswered_calls(route), news_age(route), tolerated_share(route));
+    const UnansweredCalls unanswered = unanswered_calls(route);
+    if (!waits_for_outcome(unanswered, news_age(route), tolerated_share(route))) return false;
+    route.awaits_news = true;
+    if (!before)
+      log(route,
+          "messages wait for news: calls out " + std::to_string(unanswered.count) + ", one of them late");
+    return true;
   }
 
   // When a call may be sent on this route; kNever: not before some other event.
--- a/src/policy_parts.h
+++ b/src/policy_parts.h
@@ -80,6 +80,8 @@
 // Refusals alone count as an outage only over a longer time: refusals at a rate limit last less.
 inline constexpr int kRefusalStreak = 3;
 inline constexpr Time kMinRefusalSpan = 2500 * kMs;
+// The first failed call after served ones is logged this often at most.
+inline constexpr Time kFailureLogInterval = kSecond;
 // A failing host is avoided for this time, doubled with each further failure up to the maximum.
 inline constexpr Time kMinAvoidTime = kSecond;
 inline constexpr Time kMaxAvoidTime = 8 * kSecond;
@@ -248,6 +250,7 @@
   int unserved_streak = 0;      // calls in a row that were not served
   int failures_in_streak = 0;   // of these, failures rather than refusals
   Time streak_start = 0;        // when the first of them was sent
+  Time failure_logged_at = 0;
   std::set<Endpoint> streak_endpoints;  // hosts of these calls that the list still has as ready
   double pacing_rate_before_streak = 0;
   Time outage_start = 0;            // 0: no outage
@@ -263,6 +266,7 @@
   int trials_in_flight = 0;
   Time last_served_sent = std::numeric_limits<Time>::min();  // send time of the youngest served call
   FailureShare failure_share;
+  bool awaits_news = false;  // calls wait for the outcome of one that is late
   bool probe_in_flight = false;
   bool probe_ok = false;
   // Calls lost on idle connections, with none served on a new connection since.
--- a/tests/parts_test.cpp
+++ b/tests/parts_test.cpp
@@ -5,6 +5,7 @@
 
 #include "clients.h"
 #include "config.h"
+#include "log_line.h"
 #include "peers.h"
 #include "resp.h"
 
@@ -29,6 +30,13 @@
   }
 }
 
+TEST(LogLine, TellsTheTimeOfDay) {
+  constexpr int64_t kDay = 86'400'000'000;
+  EXPECT_EQ(umberhoist::time_of_day(0), "00:00:00.000");
+  EXPECT_EQ(umberhoist::time_of_day(20'000 * kDay + 81'889'810'999), "22:44:49.810");
+  EXPECT_EQ(umberhoist::time_of_day(kDay - 1), "23:59:59.999");
+}
+
 TEST(Resp, RefusesWhatItWouldHaveToHoldWithoutBound) {
   for (const std::string bytes :
        {"*17\r\n", "*1\r\n$65537\r\n", "*1\r\n$1234567890123", "x", "*1\r\n*1\r\n"}) {
--- a/tests/policy_test.cpp
+++ b/tests/policy_test.cpp
@@ -869,6 +869,40 @@
   EXPECT_EQ(all_of<Send>(relay.step(now + kSecond, {relay.message(3, now + kSecond)})).size(), 1u);
 }
 
+bool any_line_contains(const std::vector<Action>& actions, const std::string& text) {
+  for (const Log& line : all_of<Log>(actions)) {
+    if (line.text.find(text) != std::string::npos) return true;
+  }
+  return false;
+}
+
+TEST(UnansweredCalls, AreLoggedOnceWhileMessagesWait) {
+  Relay relay(settings_of_rare_callers());
+  relay.step(0, {members({member(1)})});
+  Time now = serve_one(relay, 1, 0) + 6 * kSecond;
+  const auto first = all_of<Send>(relay.step(now, {relay.message(20, now)}));
+  now += kSecond;
+  EXPECT_TRUE(any_line_contains(relay.step(now, {relay.message(30, now)}), "messages wait for news"));
+  EXPECT_TRUE(all_of<Log>(relay.step(now + 10'000, {relay.message(31, now + 10'000)})).empty());
+  const auto freed = relay.step(now + 50'000, {ended(first.at(0), 0, Outcome::kOk)});
+  std::vector<Event> ends;
+  for (const Send& send : all_of<Send>(freed)) ends.push_back(ended(send, 0, Outcome::kOk));
+  EXPECT_EQ(ends.size(), 2u);
+  relay.step(now + 200'000, ends);
+}
+
+TEST(FailureLog, TellsHowACallFailedAndHowOldTheNewsWas) {
+  Relay relay(settings_of_rare_callers());
+  relay.step(0, {members({member(1)})});
+  const Time now = serve_one(relay, 1, 0) + 6 * kSecond;
+  const auto sends = all_of<Send>(relay.step(now, {relay.message(20, now)}));
+  AttemptEnded end = ended(sends.at(0), 0, Outcome::kReset);
+  end.final = true;
+  EXPECT_TRUE(
+      any_line_contains(relay.step(now + 30'000, {end}),
+                        "a call was reset after 30 ms; the last served one was sent 6200 ms before it"));
+}
+
 // A message that waits for an answer is given back in its time, and one that the answer frees is sent.
 TEST(UnansweredCalls, HoldNoMessageBeyondItsTime) {
   Relay relay(settings_of_rare_callers());
