--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -272,6 +272,7 @@
     }
     host.last_used = now_;
     route.trials_in_flight -= attempt.is_trial;
+    route.wait_logged = false;
     update_from_outcome(e, attempt, host, route, destination);
     if (host.calls_in_flight == 0 && connections_scarce(kinds_[destination.kind]))
       close_idle_connections(host);
@@ -573,8 +574,8 @@
 
   // The last news before a failed call tells how long an outage may have lasted when it was sent.
   void log_failure(const Attempt& attempt, Route& route, Outcome outcome) {
-    if (now_ - route.failure_logged_at < kFailureLogInterval) return;
-    route.failure_logged_at = now_;
+    if (now_ < route.next_failure_log) return;
+    route.next_failure_log = now_ + kFailureLogInterval;
     const bool has_news = route.last_served_sent != std::numeric_limits<Time>::min();
     log(route,
         std::string("a call ") + describe(outcome) + " after " + std::to_string((now_ - attempt.sent) / kMs) +
@@ -821,6 +822,13 @@
            std::max(0.0, kSlowStartMargin * settings_.overload_factor * capacity - (1 - informed)) / informed;
   }
 
+  // Calls of all relays in an overload window at the start of a recovery, of a destination whose capacity is
+  // that of all relays at this relay's rate.
+  double recovery_budget(double own_rate) const {
+    const double calls = own_rate * settings_.relays * seconds(settings_.overload_window);
+    return settings_.overload_factor * settings_.start_capacity * calls;
+  }
+
   // Upper bound on the rate of trial calls of all relays together. Once the destination is back, trial calls
   // count as load, so within one overload window they have to stay under the limit for informed relays at the
   // start of the recovery: with few relays holding a token each, in all cases; with many, by four standard
@@ -829,7 +837,7 @@
     const double window = seconds(settings_.overload_window);
     if (window <= 0) return std::numeric_limits<double>::infinity();
     const double calls_before = route.baseline_rate * settings_.relays * window;
-    const double budget = settings_.overload_factor * settings_.start_capacity * calls_before;
+    const double budget = recovery_budget(route.baseline_rate);
     const double uninformed = (1 - informed_share(route)) * calls_before;
     const double limit = informed_calls_limit(budget, kUninformedGrowth * uninformed);
     const double calls =
@@ -894,20 +902,16 @@
   // This relay's part of the calls that the destination, by the relay's estimate of its capacity, would
   // tolerate in an overload window at the start of a recovery.
   double tolerated_share(const Route& route) const {
-    const double calls = estimated_rate(route) * settings_.relays * seconds(settings_.overload_window);
-    const double budget = settings_.overload_factor * settings_.start_capacity * calls;
-    return tolerated_calls(budget) / settings_.relays;
+    return tolerated_calls(recovery_budget(estimated_rate(route))) / settings_.relays;
   }
 
   // Whether a message has to wait for news of the route. Trial calls and calls on probation are paced as it
   // is.
   bool awaits_news(Route& route) {
-    const bool before = std::exchange(route.awaits_news, false);
     if (route.outage_start != 0 || on_probation(route) || news_age(route) < kMaxNewsAge) return false;
     const UnansweredCalls unanswered = unanswered_calls(route);
     if (!waits_for_outcome(unanswered, news_age(route), tolerated_share(route))) return false;
-    route.awaits_news = true;
-    if (!before)
+    if (!std::exchange(route.wait_logged, true))
       log(route,
           "messages wait for news: calls out " + std::to_string(unanswered.count) + ", one of them late");
     return true;
--- a/src/policy_parts.h
+++ b/src/policy_parts.h
@@ -250,7 +250,7 @@
   int unserved_streak = 0;      // calls in a row that were not served
   int failures_in_streak = 0;   // of these, failures rather than refusals
   Time streak_start = 0;        // when the first of them was sent
-  Time failure_logged_at = 0;
+  Time next_failure_log = std::numeric_limits<Time>::min();
   std::set<Endpoint> streak_endpoints;  // hosts of these calls that the list still has as ready
   double pacing_rate_before_streak = 0;
   Time outage_start = 0;            // 0: no outage
@@ -266,7 +266,7 @@
   int trials_in_flight = 0;
   Time last_served_sent = std::numeric_limits<Time>::min();  // send time of the youngest served call
   FailureShare failure_share;
-  bool awaits_news = false;  // calls wait for the outcome of one that is late
+  bool wait_logged = false;  // that messages wait for a late call; since the last call ended
   bool probe_in_flight = false;
   bool probe_ok = false;
   // Calls lost on idle connections, with none served on a new connection since.
--- a/src/unanswered_calls.h
+++ b/src/unanswered_calls.h
@@ -4,6 +4,7 @@
 #pragma once
 
 #include <algorithm>
+#include <cmath>
 
 #include "firspool/policy.h"
 
@@ -23,7 +24,7 @@
 // always allowed.
 inline bool waits_for_outcome(const UnansweredCalls& unanswered, Time news_age, double tolerated_share) {
   if (news_age < kMaxNewsAge || !unanswered.any_late) return false;
-  return unanswered.count >= std::max(1, static_cast<int>(tolerated_share));
+  return unanswered.count >= std::max(1.0, std::floor(tolerated_share));
 }
 
 }  // namespace firspool
--- a/tests/policy_test.cpp
+++ b/tests/policy_test.cpp
@@ -678,6 +678,10 @@
     while (recovery_start_ == 0) run_until(now_ + kInterval, Outcome::kOk);
   }
   Time slow_start_end() const { return recovery_start_ + settings().slow_start; }
+  void let_a_call_near_the_end_fail() {
+    run_until(slow_start_end() - 2 * kSecond, Outcome::kOk);
+    let_one_call_end(Outcome::kConnectFailed);
+  }
 };
 
 TEST(SlowStartEnd, ComesWithTheTimeWhereAllCallsAreServed) {
@@ -691,8 +695,7 @@
 TEST(SlowStartEnd, DoesNotComeWithTheTimeAfterAFailedCall) {
   RelayInSlowStart relay;
   const Time end = relay.slow_start_end();
-  relay.run_until(end - 2 * kSecond, Outcome::kOk);
-  relay.let_one_call_end(Outcome::kConnectFailed);
+  relay.let_a_call_near_the_end_fail();
   relay.wait_until(end + 200'000);
   EXPECT_LE(relay.burst(), 1u);
 }
@@ -701,8 +704,7 @@
 TEST(SlowStartEnd, IsPutOffByAFailedCallThatAServedOneFollows) {
   RelayInSlowStart relay;
   const Time end = relay.slow_start_end();
-  relay.run_until(end - 2 * kSecond, Outcome::kOk);
-  relay.let_one_call_end(Outcome::kConnectFailed);
+  relay.let_a_call_near_the_end_fail();
   relay.run_until(end + 200'000, Outcome::kOk);
   EXPECT_LE(relay.burst(), 1u);
 }
@@ -891,6 +893,25 @@
   relay.step(now + 200'000, ends);
 }
 
+// Each late call that messages wait for leaves a line of its own.
+TEST(UnansweredCalls, AreLoggedAgainForTheNextLateCall) {
+  Relay relay(settings_of_rare_callers());
+  relay.step(0, {members({member(1)})});
+  Time now = serve_one(relay, 1, 0);
+  for (const uint64_t id : {20, 40}) {
+    now += 6 * kSecond;
+    const auto late = all_of<Send>(relay.step(now, {relay.message(id, now)}));
+    ASSERT_EQ(late.size(), 1u);
+    now += kSecond;
+    Arrival brief = relay.message(id + 1, now);
+    brief.due = now + kSecond / 2;
+    EXPECT_TRUE(any_line_contains(relay.step(now, {brief}), "messages wait for news")) << id;
+    relay.run_idle(now, brief.due);
+    now = brief.due + 10'000;
+    relay.step(now, {ended(late[0], 0, Outcome::kOk)});
+  }
+}
+
 TEST(FailureLog, TellsHowACallFailedAndHowOldTheNewsWas) {
   Relay relay(settings_of_rare_callers());
   relay.step(0, {members({member(1)})});
